--- a/src/bin/reachshift-benchlink.rs
+++ b/src/bin/mothwinch-adapter.rs
@@ -3,7 +3,7 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-use reachshift::wire::Host;
+use mothwinch::wire::Host;
 
 fn main() -> ExitCode {
     // The wire carries a panic's message; the backtrace would only repeat it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,14 +1,18 @@
-//! Overload decisions for one server of a fleet: what it takes, runs and turns away.
+//! A billing node: it takes requests by JSON-RPC or from AMQP queues, decides what runs, and answers each once.
 //!
 //! [`Policy`] is a deterministic state machine. Feed it [`Event`]s with the present [`Time`]; it appends
 //! [`Action`]s. It reads no clock, starts no thread and draws no randomness beyond the seed handed to it.
 //! A `Policy` is `Send`; one server drives it through `&mut self`, while [`Sketch`] counts through `&self`
 //! and may be read from any thread.
+//!
+//! [`node`] is the core that drives it on real time and knows no wire; [`net`] holds the platform's wires.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod interface;
 mod logic;
+pub mod net;
+pub mod node;
 pub mod wire;
 
 pub use interface::*;
--- /dev/null
+++ b/src/net/executor.rs
@@ -0,0 +1,235 @@
+//! The executor's actor: holds the one link, writes commands, reads notices.
+
+use std::io::{self, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam_channel::{after, bounded, never, select, Receiver, Sender};
+use serde::{Deserialize, Serialize};
+use slog::{debug, info, warn, Logger};
+
+use super::{spawn, Backoff, Lines};
+use crate::node::{Body, Limits, Msg, Rid, RunExit, ToExecutor};
+
+#[derive(Serialize)]
+#[serde(tag = "action", rename_all = "UPPERCASE")]
+enum Command<'a> {
+    Join { pos: u64 },
+    Exec { uid: &'a str, lane: &'a str, content: &'a str },
+    Kill { uid: &'a str },
+    Return { uid: &'a str, content: &'a str },
+    Meter { echo: &'a str },
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "action", rename_all = "UPPERCASE")]
+enum Notice {
+    Welcome { code: String, wall_ms: f64 },
+    Exit { pos: u64, uid: String, code: String, content: Option<String> },
+    Callout { pos: u64, uid: String, content: String },
+    Meters { echo: String, meters: Vec<f64> },
+    Bad { code: String, uid: Option<String> },
+    Log { pos: u64, code: Option<String> },
+}
+
+/// What the reader of a link tells the actor.
+enum FromReader {
+    Welcome,
+    Ended,
+}
+
+/// Keeps the link up until the mailbox is gone.
+pub fn run(
+    to: SocketAddr,
+    limits: &Limits,
+    inbox: &Receiver<ToExecutor>,
+    module: &Sender<Msg>,
+    log: &Logger,
+) {
+    let mut backoff = Backoff::new(limits.reconnect, limits.reconnect_most);
+    let position = Arc::new(Position::default());
+    loop {
+        match link(to, limits, inbox, module, &position, log) {
+            Ok(Gone::Module) => return,
+            Ok(Gone::Executor { welcomed }) => {
+                info!(log, "executor link ended");
+                if welcomed {
+                    backoff.reset();
+                    if module.send(Msg::ExecutorDown).is_err() {
+                        return;
+                    }
+                }
+            }
+            Err(e) => debug!(log, "executor link"; "error" => %e),
+        }
+        // Commands wait in the mailbox meanwhile: they have not been sent, so they may be sent later.
+        select! { recv(after(backoff.pause())) -> _ => {} }
+    }
+}
+
+enum Gone {
+    Module,
+    Executor { welcomed: bool },
+}
+
+fn link(
+    to: SocketAddr,
+    limits: &Limits,
+    inbox: &Receiver<ToExecutor>,
+    module: &Sender<Msg>,
+    position: &Arc<Position>,
+    log: &Logger,
+) -> io::Result<Gone> {
+    let stream = Arc::new(TcpStream::connect_timeout(&to, limits.connect)?);
+    stream.set_nodelay(true)?;
+    stream.set_write_timeout(Some(limits.write))?;
+    write(&stream, &Command::Join { pos: position.get() })?;
+    let (tell, told) = bounded(4);
+    let reader = Reader { module: module.clone(), position: position.clone(), tell, log: log.clone() };
+    let (from, most) = (stream.clone(), limits.executor_line);
+    spawn("executor-read", limits.stack, move || reader.run(&from, most))?;
+    let mut welcomed = false;
+    loop {
+        // Nothing is sent before the welcome: until then the executor may not be up.
+        let commands = if welcomed { inbox.clone() } else { never() };
+        select! {
+            recv(told) -> msg => match msg {
+                Ok(FromReader::Welcome) => welcomed = true,
+                Ok(FromReader::Ended) | Err(_) => return Ok(Gone::Executor { welcomed }),
+            },
+            recv(commands) -> msg => {
+                let Ok(command) = msg else { return Ok(Gone::Module) };
+                if let Err(e) = send(&stream, &command) {
+                    // It may have arrived in part or in whole, like those before it: the module is told of the
+                    // break and decides what may be sent again. The reader is waited for, so that what it has
+                    // read comes before the news of the break.
+                    warn!(log, "executor write"; "error" => %e);
+                    let _ = stream.shutdown(Shutdown::Both);
+                    while let Ok(msg) = told.recv() {
+                        if matches!(msg, FromReader::Ended) {
+                            break;
+                        }
+                    }
+                    return Ok(Gone::Executor { welcomed });
+                }
+            }
+        }
+    }
+}
+
+fn send(stream: &TcpStream, command: &ToExecutor) -> io::Result<()> {
+    match command {
+        ToExecutor::Exec(rid, lane, body) => {
+            write(stream, &Command::Exec { uid: rid.as_str(), lane, content: body.as_base64() })
+        }
+        ToExecutor::Kill(rid) => write(stream, &Command::Kill { uid: rid.as_str() }),
+        ToExecutor::Return(rid, body) => {
+            write(stream, &Command::Return { uid: rid.as_str(), content: body.as_base64() })
+        }
+        ToExecutor::Meter(tag) => write(stream, &Command::Meter { echo: &tag.to_string() }),
+    }
+}
+
+fn write(mut stream: &TcpStream, command: &Command<'_>) -> io::Result<()> {
+    let mut line = serde_json::to_vec(command)?;
+    line.push(b'\n');
+    stream.write_all(&line)
+}
+
+struct Reader {
+    module: Sender<Msg>,
+    position: Arc<Position>,
+    tell: Sender<FromReader>,
+    log: Logger,
+}
+
+impl Reader {
+    fn run(self, from: &TcpStream, most: usize) {
+        let mut lines = Lines::new(from, most);
+        loop {
+            match lines.next_line() {
+                Ok(Some(line)) => match serde_json::from_slice(line) {
+                    Ok(notice) => {
+                        if self.notice(notice).is_none() {
+                            break;
+                        }
+                    }
+                    // Kinds of notices may be added; what is not understood is passed over.
+                    Err(e) => warn!(self.log, "executor notice not understood"; "error" => %e),
+                },
+                Ok(None) => break,
+                Err(e) => {
+                    debug!(self.log, "executor read"; "error" => %e);
+                    break;
+                }
+            }
+        }
+        let _ = from.shutdown(Shutdown::Both);
+        let _ = self.tell.send(FromReader::Ended);
+    }
+
+    /// Hands a notice on; none once nobody listens.
+    fn notice(&self, notice: Notice) -> Option<()> {
+        let msg = match notice {
+            Notice::Welcome { code, wall_ms } => {
+                let age = Duration::try_from_secs_f64(wall_ms / 1e3).unwrap_or_default();
+                // The module first: its commands go out only once the actor has heard as well.
+                self.module.send(Msg::ExecutorUp { cold: code == "COLD", age }).ok()?;
+                return self.tell.send(FromReader::Welcome).ok();
+            }
+            Notice::Exit { pos, uid, code, content } => {
+                if !self.position.advance(pos) {
+                    return Some(());
+                }
+                let end = match (code.as_str(), content) {
+                    ("OK", Some(content)) => RunExit::Done(Body::from_base64(content)),
+                    ("STOPPED", _) => RunExit::Stopped,
+                    ("MOOT", _) => RunExit::Moot,
+                    _ => RunExit::Error,
+                };
+                let Some(rid) = Rid::parse(&uid) else { return Some(()) };
+                Msg::Exit(rid, end)
+            }
+            Notice::Callout { pos, uid, content } => {
+                if !self.position.advance(pos) {
+                    return Some(());
+                }
+                let Some(rid) = Rid::parse(&uid) else { return Some(()) };
+                Msg::Callout(rid, Body::from_base64(content))
+            }
+            Notice::Meters { echo, meters } => match echo.parse() {
+                Ok(tag) => Msg::Meters(tag, meters),
+                Err(_) => return Some(()),
+            },
+            Notice::Bad { code, uid } => {
+                warn!(self.log, "executor: not carried out"; "command" => &code, "uid" => uid.as_deref().unwrap_or(""));
+                match uid.as_deref().and_then(Rid::parse).filter(|_| code == "EXEC") {
+                    Some(rid) => Msg::NotCarriedOut(rid),
+                    None => return Some(()),
+                }
+            }
+            Notice::Log { pos, code } => {
+                self.position.advance(pos);
+                debug!(self.log, "executor"; "says" => code.unwrap_or_default());
+                return Some(());
+            }
+        };
+        self.module.send(msg).ok()
+    }
+}
+
+/// The number of the last notice read, kept over links.
+#[derive(Default)]
+struct Position(AtomicU64);
+
+impl Position {
+    fn get(&self) -> u64 {
+        self.0.load(SeqCst)
+    }
+    /// Whether this notice is new: after a break some may come again.
+    fn advance(&self, to: u64) -> bool {
+        self.0.fetch_max(to, SeqCst) < to
+    }
+}
--- /dev/null
+++ b/src/net/jsonrpc/message.rs
@@ -0,0 +1,181 @@
+//! JSON-RPC 2.0 messages: what a line says, and how answers are written.
+
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+
+use crate::node::{Answer, Arrival, Body, Outcome, Reply, Rid};
+use crate::wire::Site;
+use crate::{CallerId, ClassId, Time};
+
+/// A refusal: this try never ran.
+pub const REFUSED: i32 = -32002;
+/// A failure: it may have run.
+pub const FAILED: i32 = -32000;
+const PARSE: i32 = -32700;
+const INVALID_REQUEST: i32 = -32600;
+const NO_METHOD: i32 = -32601;
+const INVALID_PARAMS: i32 = -32602;
+
+/// What a line asks for.
+pub enum Incoming {
+    /// A health check.
+    Alive(u64),
+    /// A request to be served.
+    Request(u64, ClassId, Params),
+    /// A notification, which gets no answer.
+    Notification,
+    /// Something that gets this answer.
+    Malformed(String),
+}
+
+/// The fields of a request.
+#[derive(Deserialize)]
+pub struct Params {
+    rid: String,
+    t0: i64,
+    peer: u64,
+    acct: Option<String>,
+    again: Option<u8>,
+    mem: f64,
+    body: String,
+}
+
+impl Params {
+    /// The request for the core, or nothing where a field is out of its range.
+    pub fn arrival(self, class: ClassId, site: &Site, reply: Reply) -> Arrival {
+        Arrival {
+            // Both are checked as the line is read.
+            rid: Rid::parse(&self.rid).unwrap_or(Rid::from_number(0)),
+            class,
+            tenant: self.acct.filter(|name| !name.is_empty()).map(|name| site.tenant(&name)),
+            at: Time(self.t0.saturating_mul(1000)),
+            caller: CallerId(self.peer),
+            resent: self.again == Some(1),
+            held_kb: self.mem,
+            body: Body::from_base64(self.body),
+            once_key: None,
+            may_have_run: false,
+            reply,
+        }
+    }
+    fn check(&self) -> Result<(), &'static str> {
+        if Rid::parse(&self.rid).is_none() {
+            return Err("rid is not 16 hex digits");
+        }
+        if !(self.mem > 0.0 && self.mem < 2000.0) {
+            return Err("mem is out of range");
+        }
+        Ok(())
+    }
+}
+
+/// Reads a line.
+pub fn read(line: &[u8], site: &Site) -> Incoming {
+    let malformed = |id: Option<u64>, code, text: &str| {
+        let error = json!({"code": code, "message": text});
+        Incoming::Malformed(json!({"jsonrpc": "2.0", "id": id, "error": error}).to_string())
+    };
+    let Ok(value) = serde_json::from_slice::<Value>(line) else {
+        return malformed(None, PARSE, "not JSON");
+    };
+    let id = value.get("id").and_then(Value::as_u64).filter(|id| *id > 0);
+    if value.get("jsonrpc").and_then(Value::as_str) != Some("2.0") {
+        return malformed(id, INVALID_REQUEST, "not a JSON-RPC 2.0 request");
+    }
+    let Some(method) = value.get("method").and_then(Value::as_str) else {
+        return malformed(id, INVALID_REQUEST, "no method");
+    };
+    if value.get("id").is_none() {
+        return Incoming::Notification;
+    }
+    let Some(number) = id else {
+        return malformed(None, INVALID_REQUEST, "id is not a number from 1 up");
+    };
+    if method == "alive" {
+        return Incoming::Alive(number);
+    }
+    let Some(class) = site.class(method) else {
+        return malformed(id, NO_METHOD, "no such method");
+    };
+    let params = value.get("params").unwrap_or(&Value::Null);
+    match Params::deserialize(params) {
+        Ok(params) => match params.check() {
+            Ok(()) => Incoming::Request(number, class, params),
+            Err(what) => malformed(id, INVALID_PARAMS, what),
+        },
+        Err(e) => malformed(id, INVALID_PARAMS, &e.to_string()),
+    }
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    jsonrpc: &'static str,
+    id: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    result: Option<Served<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<Fault>,
+}
+#[derive(Serialize)]
+struct Served<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    body: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ready: Option<bool>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    hint: Option<f64>,
+}
+#[derive(Serialize)]
+struct Fault {
+    code: i32,
+    message: &'static str,
+    data: Data,
+}
+#[derive(Serialize, Default)]
+struct Data {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    backoff: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none", rename = "final")]
+    last: Option<u8>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    hint: Option<f64>,
+}
+
+fn write(id: u64, result: Option<Served<'_>>, error: Option<Fault>) -> String {
+    // Numbers and strings alone: this can't fail.
+    let mut line = serde_json::to_string(&Line { jsonrpc: "2.0", id, result, error }).unwrap_or_default();
+    line.push('\n');
+    line
+}
+
+/// The line of an answer.
+pub fn answer(id: u64, answer: &Answer) -> String {
+    let hint = answer.hint;
+    match &answer.outcome {
+        Outcome::Served(body) => {
+            write(id, Some(Served { body: Some(body.as_base64()), ready: None, hint }), None)
+        }
+        Outcome::Refused { stay_away, give_up } => {
+            let backoff = Some(stay_away.ms().ceil() as u64).filter(|ms| *ms > 0);
+            let data = Data { backoff, last: give_up.then_some(1), hint };
+            write(id, None, Some(Fault { code: REFUSED, message: "refused: never ran here", data }))
+        }
+        Outcome::Failed(why) => {
+            let data = Data { hint, ..Data::default() };
+            write(id, None, Some(Fault { code: FAILED, message: why.word(), data }))
+        }
+    }
+}
+
+/// The line of a health answer.
+pub fn health(id: u64, ready: bool, hint: Option<f64>) -> String {
+    write(id, Some(Served { body: None, ready: Some(ready), hint }), None)
+}
+
+/// The answer to a request that breaks the protocol's bounds on a connection.
+pub fn breach(id: u64, what: &'static str) -> String {
+    write(id, None, Some(Fault { code: INVALID_REQUEST, message: what, data: Data::default() }))
+}
+
+/// The notification after which a connection gets no new request.
+pub const FAREWELL: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"farewell\"}\n";
--- /dev/null
+++ b/src/net/jsonrpc/session.rs
@@ -0,0 +1,70 @@
+//! The states of one front connection, apart from its socket.
+
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+/// Why a request is turned down before the core hears of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Breach {
+    /// More are open than the protocol allows.
+    TooMany,
+    /// One with this id is open.
+    IdInUse,
+}
+
+/// What is open on a connection and whether it has been told to go.
+pub struct Session {
+    open: HashSet<u64>,
+    most: usize,
+    farewell: bool,
+    ended: bool,
+    used: Instant,
+}
+
+impl Session {
+    /// A fresh connection on which `most` requests may be open.
+    pub fn new(most: usize, now: Instant) -> Session {
+        Session { open: HashSet::new(), most, farewell: false, ended: false, used: now }
+    }
+    /// A request came.
+    pub fn request(&mut self, id: u64, now: Instant) -> Result<(), Breach> {
+        self.used = now;
+        if self.open.contains(&id) {
+            return Err(Breach::IdInUse);
+        }
+        if self.open.len() >= self.most {
+            return Err(Breach::TooMany);
+        }
+        self.open.insert(id);
+        Ok(())
+    }
+    /// Something else came, such as a health check.
+    pub fn touch(&mut self, now: Instant) {
+        self.used = now;
+    }
+    /// An answer goes out; false if none is owed for this id.
+    pub fn answered(&mut self, id: u64, now: Instant) -> bool {
+        self.used = now;
+        self.open.remove(&id)
+    }
+    /// The connection is to take no new requests; false if that was said before.
+    pub fn farewell(&mut self) -> bool {
+        !std::mem::replace(&mut self.farewell, true)
+    }
+    /// The peer sends no more.
+    pub fn end(&mut self) {
+        self.ended = true;
+    }
+    /// Nothing more will come or go.
+    pub fn over(&self) -> bool {
+        self.ended && self.open.is_empty()
+    }
+    /// How much longer it may carry nothing, if `idle` is the most; none while a request is open.
+    pub fn idle_left(&self, idle: Duration, now: Instant) -> Option<Duration> {
+        self.open.is_empty().then(|| (self.used + idle).saturating_duration_since(now))
+    }
+    /// Whether the peer was told to go.
+    pub fn leaving(&self) -> bool {
+        self.farewell
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,68 @@
+//! The platform's wires, on std::net with small-stack threads: an actor for each peer.
+
+pub mod database;
+pub mod executor;
+pub mod jsonrpc;
+pub mod membership;
+
+use std::io::{self, BufRead, BufReader, Read};
+use std::thread;
+use std::time::Duration;
+
+/// Starts a named thread with a small stack.
+pub fn spawn(name: &str, stack: usize, body: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    thread::Builder::new().name(name.into()).stack_size(stack).spawn(body).map(drop)
+}
+
+/// Lines of bounded length from a stream.
+pub struct Lines<R> {
+    from: BufReader<R>,
+    most: usize,
+    line: Vec<u8>,
+}
+
+impl<R: Read> Lines<R> {
+    /// Lines of at most `most` bytes.
+    pub fn new(from: R, most: usize) -> Lines<R> {
+        Lines { from: BufReader::with_capacity(4096, from), most, line: Vec::new() }
+    }
+
+    /// The next line without its end, or nothing at the end of the stream. A last line that was cut off is not a
+    /// line. A longer one is an error of the kind `InvalidData`: a peer must not fill our memory with one line.
+    pub fn next_line(&mut self) -> io::Result<Option<&[u8]>> {
+        self.line.clear();
+        let read = (&mut self.from).take(self.most as u64 + 1).read_until(b'\n', &mut self.line)?;
+        if self.line.pop_if(|last| *last == b'\n').is_some() {
+            self.line.pop_if(|last| *last == b'\r');
+            return Ok(Some(&self.line));
+        }
+        if read > self.most {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "line too long"));
+        }
+        Ok(None)
+    }
+}
+
+/// Pauses between tries, doubled up to a bound.
+pub struct Backoff {
+    next: Duration,
+    first: Duration,
+    most: Duration,
+}
+
+impl Backoff {
+    /// From `first` up to `most`.
+    pub fn new(first: Duration, most: Duration) -> Backoff {
+        Backoff { next: first, first, most }
+    }
+    /// The pause before the next try.
+    pub fn pause(&mut self) -> Duration {
+        let pause = self.next;
+        self.next = (pause * 2).min(self.most);
+        pause
+    }
+    /// It worked: start again from the first.
+    pub fn reset(&mut self) {
+        self.next = self.first;
+    }
+}
--- /dev/null
+++ b/src/node/book.rs
@@ -0,0 +1,111 @@
+//! The book of requests: where each stands, the right to answer it, and the keys that must not run again.
+
+use std::collections::hash_map::RandomState;
+use std::collections::HashMap;
+use std::hash::BuildHasher;
+
+use super::request::{Body, Reply, Rid};
+use crate::interface::{ClassId, RequestId};
+
+/// Where a request stands with the peers.
+#[derive(Debug, PartialEq)]
+pub(super) enum Stage {
+    /// Never sent to the executor.
+    Held,
+    /// Sent, and not known to be over.
+    Running,
+    /// Its run waits for this call.
+    AtCall(Body),
+    /// The call is being made; the body is kept in case it never runs and is made again.
+    Calling(Body),
+}
+
+pub(super) struct Entry {
+    pub rid: Rid,
+    pub class: ClassId,
+    pub body: Body,
+    pub reply: Option<Reply>,
+    pub stage: Stage,
+    /// Repeats one that ran, or may yet: it is failed and never run.
+    pub repeats: bool,
+    /// The link broke since its run was last heard of: the command may not have arrived.
+    pub unsure: bool,
+    /// Its key in the table of those that must not run again.
+    pub key: Option<u128>,
+}
+
+impl Entry {
+    /// Whether it was ever sent to run: then it is not refused, as that would say that it never ran.
+    pub fn ran(&self) -> bool {
+        self.stage != Stage::Held
+    }
+}
+
+/// Keys of effects in hand or run in this life. They are kept as 128-bit hashes under seeds of this process, so a
+/// long key costs no more than a short one; the table is bounded, and when it is full new keys are refused.
+pub(super) struct Keys {
+    seeds: (RandomState, RandomState),
+    table: HashMap<u128, RequestId>,
+    most: usize,
+}
+
+impl Keys {
+    pub fn new(most: usize) -> Keys {
+        Keys { seeds: (RandomState::new(), RandomState::new()), table: HashMap::new(), most }
+    }
+    pub fn hash(&self, class: ClassId, key: &str) -> u128 {
+        let one = |s: &RandomState| u128::from(s.hash_one((class, key)));
+        one(&self.seeds.0) << 64 | one(&self.seeds.1)
+    }
+    pub fn find(&self, key: u128) -> Option<RequestId> {
+        self.table.get(&key).copied()
+    }
+    pub fn full(&self) -> bool {
+        self.table.len() >= self.most
+    }
+}
+
+pub(super) struct Book {
+    entries: HashMap<RequestId, Entry>,
+    by_rid: HashMap<Rid, RequestId>,
+    next: u64,
+    pub keys: Keys,
+}
+
+impl Book {
+    pub fn new(once_keys: usize) -> Book {
+        Book { entries: HashMap::new(), by_rid: HashMap::new(), next: 1, keys: Keys::new(once_keys) }
+    }
+
+    /// Enters a request, and its key if it is the first to bring it.
+    pub fn enter(&mut self, entry: Entry) -> RequestId {
+        let id = RequestId(self.next);
+        self.next += 1;
+        if let Some(key) = entry.key.filter(|_| !entry.repeats) {
+            self.keys.table.insert(key, id);
+        }
+        self.by_rid.insert(entry.rid, id);
+        self.entries.insert(id, entry);
+        id
+    }
+
+    /// Takes out a request that is over. Its key stays if it was ever sent to run, and goes if it never was.
+    pub fn remove(&mut self, id: RequestId) -> Option<Entry> {
+        let entry = self.entries.remove(&id)?;
+        self.by_rid.remove(&entry.rid);
+        if let Some(key) = entry.key.filter(|_| !entry.repeats && !entry.ran()) {
+            self.keys.table.remove(&key);
+        }
+        Some(entry)
+    }
+
+    pub fn find(&self, rid: Rid) -> Option<RequestId> {
+        self.by_rid.get(&rid).copied()
+    }
+    pub fn get(&mut self, id: RequestId) -> Option<&mut Entry> {
+        self.entries.get_mut(&id)
+    }
+    pub fn all(&mut self) -> impl Iterator<Item = &mut Entry> {
+        self.entries.values_mut()
+    }
+}
--- /dev/null
+++ b/src/node/config.rs
@@ -0,0 +1,127 @@
+//! What the platform tells a node at its start.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::wire::Site;
+use crate::{Effect, SettingsError};
+
+/// Why the program can't start.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// An environment variable is missing.
+    Missing(&'static str),
+    /// A file can't be read.
+    Unreadable(String, std::io::Error),
+    /// The configuration is not what the platform promises.
+    Malformed(String),
+    /// The settings can't be used.
+    Settings(SettingsError),
+    /// The settings ask for what this program's wires don't carry.
+    NotOffered(String),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Missing(name) => write!(f, "{name} is not set"),
+            ConfigError::Unreadable(file, e) => write!(f, "{file}: {e}"),
+            ConfigError::Malformed(what) => write!(f, "configuration: {what}"),
+            ConfigError::Settings(e) => write!(f, "{e}"),
+            ConfigError::NotOffered(what) => write!(f, "settings ask for {what}"),
+        }
+    }
+}
+impl std::error::Error for ConfigError {}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    executor: SocketAddr,
+    members: SocketAddr,
+    db: SocketAddr,
+    seed: String,
+    stop_ms: f64,
+    #[serde(default)]
+    limits: FileLimits,
+    settings: Value,
+}
+#[derive(Deserialize)]
+#[serde(default)]
+struct FileLimits {
+    sockets: usize,
+}
+impl Default for FileLimits {
+    fn default() -> FileLimits {
+        FileLimits { sockets: 1024 }
+    }
+}
+
+/// A node's configuration.
+pub struct Config {
+    /// Its name on the list.
+    pub name: String,
+    /// Where front ends connect.
+    pub listen: SocketAddr,
+    /// The executor's address.
+    pub executor: SocketAddr,
+    /// The membership service's address.
+    pub members: SocketAddr,
+    /// The database's address.
+    pub database: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Time from the notice to leave to the kill.
+    pub stop: Duration,
+    /// Descriptors it may hold.
+    pub sockets: usize,
+    /// What the module is told.
+    pub site: Site,
+}
+
+impl Config {
+    /// Reads the file that `PROXY_CONFIG` names.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        const VARIABLE: &str = "PROXY_CONFIG";
+        let path = std::env::var(VARIABLE).map_err(|_| ConfigError::Missing(VARIABLE))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
+        Config::parse(&text)
+    }
+
+    /// Reads the text of that file.
+    pub fn parse(text: &str) -> Result<Config, ConfigError> {
+        let file: File = serde_json::from_str(text).map_err(|e| ConfigError::Malformed(e.to_string()))?;
+        let malformed = |what: &str| ConfigError::Malformed(what.into());
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| malformed("seed is not a hex number"))?;
+        let stop = Duration::try_from_secs_f64(file.stop_ms / 1e3)
+            .map_err(|_| malformed("stop_ms is not a length of time"))?;
+        let site = Site::from_json(&file.settings).map_err(ConfigError::Malformed)?;
+        site.settings.check().map_err(ConfigError::Settings)?;
+        // No front names a key by which a repeat could be told, so these would be served wrongly.
+        if site.settings.classes.iter().any(|c| c.effect == Effect::ByKey) {
+            return Err(ConfigError::NotOffered("classes run by key".into()));
+        }
+        if site.settings.share_for.0 > 0 {
+            return Err(ConfigError::NotOffered("shared reads".into()));
+        }
+        if site.settings.classes.iter().any(|c| c.skip_worth > 0.0) {
+            return Err(ConfigError::NotOffered("calls left out".into()));
+        }
+        Ok(Config {
+            name: file.name,
+            listen: file.listen,
+            executor: file.executor,
+            members: file.members,
+            database: file.db,
+            seed,
+            stop,
+            sockets: file.limits.sockets,
+            site,
+        })
+    }
+}
--- /dev/null
+++ b/src/node/limits.rs
@@ -0,0 +1,78 @@
+//! Every size, count and time that the program keeps to, in one value that is filled at start and handed down.
+
+use std::time::Duration;
+
+/// See the module's head. Figures that the platform sets are filled in by [`Limits::new`].
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Requests open on one front connection: the protocol's maximum.
+    pub open_per_connection: usize,
+    /// Front connections. Each is one descriptor and two threads.
+    pub connections: usize,
+    /// Bytes of one line from a front end: a body of 2 KiB in base64 and its fields, with room.
+    pub front_line: usize,
+    /// Bytes of one line from the executor: 4 KiB in base64 and its fields, with room.
+    pub executor_line: usize,
+    /// Bytes of a database reply.
+    pub database_reply: usize,
+    /// Messages that wait for the module.
+    pub module_mailbox: usize,
+    /// Commands that wait for the executor's link; past this a command counts as never sent.
+    pub executor_mailbox: usize,
+    /// Database connections, and calls in hand at once.
+    pub database_lanes: usize,
+    /// The database closes idle connections after 10 s; ours go sooner, so that none closes under a call.
+    pub database_idle: Duration,
+    /// Time to connect to a peer on the machine's own network.
+    pub connect: Duration,
+    /// Pause before the first reconnect, doubled up to `reconnect_most`.
+    pub reconnect: Duration,
+    /// The longest pause before a reconnect.
+    pub reconnect_most: Duration,
+    /// Time after which a peer that takes none of what is written is given up.
+    pub write: Duration,
+    /// Time between reports to the membership service, which forgets after 3 s.
+    pub report: Duration,
+    /// How long the module waits for the gauges before it looks without them.
+    pub meter: Duration,
+    /// After a farewell, how long an idle connection may stay open.
+    pub farewell: Duration,
+    /// Between the last answer and the platform's kill.
+    pub stop_margin: Duration,
+    /// Between looks at what is still open while leaving.
+    pub drain_tick: Duration,
+    /// Keys remembered as run in this life: 16 bytes each and the table's room.
+    pub once_keys: usize,
+    /// Stack of a thread: nothing here recurses.
+    pub stack: usize,
+}
+
+impl Limits {
+    /// The limits under so many descriptors.
+    pub fn new(sockets: usize) -> Limits {
+        let database_lanes = 24;
+        Limits {
+            open_per_connection: 32,
+            // Lanes, the executor, the list, the listener, standard streams and a few spare ones come off.
+            connections: sockets.saturating_sub(database_lanes + 40).clamp(8, 640),
+            front_line: 16 * 1024,
+            executor_line: 32 * 1024,
+            database_reply: 256 * 1024,
+            module_mailbox: 4096,
+            executor_mailbox: 16 * 1024,
+            database_lanes,
+            database_idle: Duration::from_secs(6),
+            connect: Duration::from_millis(1000),
+            reconnect: Duration::from_millis(20),
+            reconnect_most: Duration::from_millis(500),
+            write: Duration::from_secs(10),
+            report: Duration::from_millis(500),
+            meter: Duration::from_millis(12),
+            farewell: Duration::from_secs(2),
+            stop_margin: Duration::from_millis(120),
+            drain_tick: Duration::from_millis(5),
+            once_keys: 500_000,
+            stack: 160 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,160 @@
+//! The core of the node. It knows no wire: fronts hand it [`Arrival`]s, peers hand it [`Msg`]s, and it speaks to
+//! them through mailboxes.
+
+mod book;
+pub mod config;
+pub mod limits;
+mod module;
+mod request;
+
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crossbeam_channel::Sender;
+
+use crate::interface::{RequestId, Time};
+pub use limits::Limits;
+pub use module::Module;
+pub use request::{Answer, Arrival, Body, Failure, Outcome, Reply, Rid};
+
+/// The system's Unix clock, which all due times are told in.
+pub fn unix_now() -> Time {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Time(i64::try_from(since.as_micros()).unwrap_or(i64::MAX))
+}
+
+/// What reaches the module's mailbox.
+pub enum Msg {
+    /// A front has read a request.
+    Arrived(Box<Arrival>),
+    /// The executor's link is up; the first time this tells how it started.
+    ExecutorUp {
+        /// Cold at its start.
+        cold: bool,
+        /// How long ago that start was.
+        age: Duration,
+    },
+    /// The link broke: what was sent of late may or may not have arrived.
+    ExecutorDown,
+    /// A run ended.
+    Exit(Rid, RunExit),
+    /// A run waits for a call with this body.
+    Callout(Rid, Body),
+    /// The gauges asked for under this tag.
+    Meters(u64, Vec<f64>),
+    /// A command to run was not carried out.
+    NotCarriedOut(Rid),
+    /// A call ended.
+    CallDone(RequestId, CallResult, Duration),
+    /// The notice to leave.
+    Drain,
+}
+
+/// How the executor says that a run ended.
+pub enum RunExit {
+    /// Well, with the result.
+    Done(Body),
+    /// With an error.
+    Error,
+    /// Stopped.
+    Stopped,
+    /// Nothing was started.
+    Moot,
+}
+
+/// How a call ended.
+pub enum CallResult {
+    /// Well, with the reply's body.
+    Reply(Body),
+    /// It certainly never ran.
+    NeverRan,
+    /// It may have had its effect.
+    Unknown,
+}
+
+/// What the module tells the executor's actor.
+pub enum ToExecutor {
+    /// Run a request of the class of this name.
+    Exec(Rid, String, Body),
+    /// Stop a run.
+    Kill(Rid),
+    /// Hand a run the reply it waits for.
+    Return(Rid, Body),
+    /// Ask for the gauges.
+    Meter(u64),
+}
+
+/// A call that the module wants made.
+pub struct Call {
+    /// Who it is for, as the module counts.
+    pub id: RequestId,
+    /// Who it is for, as the peers know it.
+    pub rid: Rid,
+    /// The body the executor gave.
+    pub body: Body,
+    /// How long the node waits for it.
+    pub limit: Duration,
+}
+
+/// What the fronts read without asking the module: health, the free value, idle time, and the count of what is
+/// owed. Health is answered from here, so it costs no batch and tells the same on every front.
+pub struct Board {
+    ready: AtomicBool,
+    hint: AtomicU64,
+    idle_us: AtomicI64,
+    owed: AtomicUsize,
+    draining: AtomicBool,
+    serving: AtomicBool,
+}
+
+impl Default for Board {
+    fn default() -> Board {
+        Board {
+            ready: AtomicBool::new(false),
+            hint: AtomicU64::new(f64::NAN.to_bits()),
+            idle_us: AtomicI64::new(0),
+            owed: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            serving: AtomicBool::new(false),
+        }
+    }
+}
+
+impl Board {
+    /// Whether health checks hear that all is well.
+    pub fn ready(&self) -> bool {
+        self.ready.load(Relaxed)
+    }
+    /// The free value, once the module has set one.
+    pub fn hint(&self) -> Option<f64> {
+        Some(f64::from_bits(self.hint.load(Relaxed))).filter(|h| h.is_finite() && *h >= 0.0)
+    }
+    /// How long a connection may carry nothing, once the module has said so.
+    pub fn idle(&self) -> Option<Duration> {
+        u64::try_from(self.idle_us.load(Relaxed)).ok().filter(|us| *us > 0).map(Duration::from_micros)
+    }
+    /// Requests whose answer the module still owes.
+    pub fn owed(&self) -> usize {
+        self.owed.load(Relaxed)
+    }
+    /// Whether the notice to leave has come.
+    pub fn draining(&self) -> bool {
+        self.draining.load(Relaxed)
+    }
+    /// Whether the executor has come up, and requests can be taken.
+    pub fn serving(&self) -> bool {
+        self.serving.load(Relaxed)
+    }
+    /// Marks the notice to leave, so that fronts act on it before the module's next batch.
+    pub fn leave(&self) {
+        self.draining.store(true, Relaxed);
+    }
+}
+
+/// The module's two peers, as mailboxes.
+pub struct Peers {
+    /// The executor's actor.
+    pub executor: Sender<ToExecutor>,
+    /// The database's lanes.
+    pub database: Sender<Call>,
+}
--- /dev/null
+++ b/src/node/module.rs
@@ -0,0 +1,408 @@
+//! The module's actor: it alone owns the [`Policy`], the book of requests, the kept keys, the timers and the
+//! answers owed. It never waits for a peer; what it sends goes into mailboxes that have room for all that the
+//! protocol lets be open, and a command that finds none counts as never sent.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{at, never, select, Receiver};
+use slog::{debug, info, warn, Logger};
+
+use super::book::{Book, Entry, Stage};
+use super::request::{Answer, Arrival, Failure, Outcome, Rid};
+use super::{unix_now, Board, Call, CallResult, Limits, Msg, Peers, RunExit, ToExecutor};
+use crate::interface::*;
+use crate::logic::Policy;
+use crate::wire::Site;
+
+/// What the module will be told with its next batch. The age of a request is told as of the batch.
+enum Pending {
+    Read(Request, Time),
+    Other(Event),
+}
+
+/// See the file's head.
+pub struct Module {
+    site: Arc<Site>,
+    seed: u64,
+    stop: Duration,
+    limits: Limits,
+    peers: Peers,
+    board: Arc<Board>,
+    log: Logger,
+    policy: Option<Policy>,
+    book: Book,
+    pending: Vec<Pending>,
+    actions: Vec<Action>,
+    timers: BinaryHeap<Reverse<Instant>>,
+    /// The gauges asked for, and when to go on without them.
+    meter: Option<(u64, Instant)>,
+    /// The tag after which all notices of before a break have been read.
+    barrier: Option<u64>,
+    tags: u64,
+    linked: bool,
+    last: Instant,
+}
+
+impl Module {
+    /// An actor that waits for the executor to come up.
+    pub fn new(
+        (site, seed, stop): (Arc<Site>, u64, Duration),
+        limits: Limits,
+        peers: Peers,
+        board: Arc<Board>,
+        log: Logger,
+    ) -> Module {
+        let book = Book::new(limits.once_keys);
+        Module {
+            site,
+            seed,
+            stop,
+            limits,
+            peers,
+            board,
+            log,
+            policy: None,
+            book,
+            pending: Vec::new(),
+            actions: Vec::new(),
+            timers: BinaryHeap::new(),
+            meter: None,
+            barrier: None,
+            tags: 0,
+            linked: false,
+            last: Instant::now(),
+        }
+    }
+
+    /// Serves its mailbox until every sender is gone.
+    pub fn run(mut self, inbox: &Receiver<Msg>) {
+        loop {
+            let wait = self.next_look().map_or_else(never, at);
+            select! {
+                recv(inbox) -> msg => match msg {
+                    Ok(msg) => self.take(msg),
+                    Err(_) => return,
+                },
+                recv(wait) -> _ => {}
+            }
+            for msg in inbox.try_iter().take(self.limits.module_mailbox) {
+                self.take(msg);
+            }
+            self.look();
+        }
+    }
+
+    /// When there is something to do without a message: the next batch, a timer, or gauges that don't come.
+    fn next_look(&self) -> Option<Instant> {
+        let batch = if self.pending.is_empty() { None } else { Some(self.earliest()) };
+        let timer = self.timers.peek().map(|Reverse(at)| *at).filter(|_| self.meter.is_none());
+        let meter = self.meter.map(|(_, late)| late);
+        [batch, timer, meter].into_iter().flatten().min()
+    }
+
+    /// No batch comes sooner than a round after the last one.
+    fn earliest(&self) -> Instant {
+        let round = Duration::from_micros(self.site.settings.round.0.unsigned_abs());
+        self.last + round
+    }
+
+    fn look(&mut self) {
+        let now = Instant::now();
+        if self.meter.is_none() && self.timers.peek().is_some_and(|Reverse(at)| *at <= now) {
+            while self.timers.peek().is_some_and(|Reverse(at)| *at <= now) {
+                self.timers.pop();
+            }
+            let tag = self.tag();
+            if self.linked && self.peers.executor.try_send(ToExecutor::Meter(tag)).is_ok() {
+                self.meter = Some((tag, now + self.limits.meter));
+            } else {
+                self.pending.push(Pending::Other(Event::Wake(Gauges::default())));
+            }
+        }
+        if self.meter.is_some_and(|(_, late)| late <= now) {
+            // Due times are watched at wake-ups, so a wake-up never waits long for an executor that is busy.
+            self.meter = None;
+            self.pending.push(Pending::Other(Event::Wake(Gauges::default())));
+        }
+        if !self.pending.is_empty() && self.earliest() <= now {
+            self.last = now;
+            self.batch();
+        }
+    }
+
+    fn tag(&mut self) -> u64 {
+        self.tags += 1;
+        self.tags
+    }
+
+    fn batch(&mut self) {
+        let Some(policy) = &mut self.policy else { return self.pending.clear() };
+        let now = unix_now();
+        let told = |p: Pending| match p {
+            Pending::Read(mut request, arrived) => {
+                request.age = Span((now - arrived).0.max(0));
+                Event::Read(request)
+            }
+            Pending::Other(event) => event,
+        };
+        let events: Vec<Event> = self.pending.drain(..).map(told).collect();
+        let mut actions = std::mem::take(&mut self.actions);
+        policy.handle(now, &events, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    // ---- what comes in ----
+
+    fn take(&mut self, msg: Msg) {
+        match msg {
+            Msg::Arrived(arrival) => self.arrived(*arrival),
+            Msg::ExecutorUp { cold, age } => self.executor_up(cold, age),
+            Msg::ExecutorDown => {
+                self.linked = false;
+                self.book.all().filter(|e| e.ran()).for_each(|e| e.unsure = true);
+            }
+            Msg::Exit(rid, how) => self.exit(rid, how),
+            Msg::Callout(rid, body) => {
+                let Some(id) = self.book.find(rid) else { return };
+                if let Some(entry) = self.book.get(id) {
+                    entry.unsure = false;
+                    entry.stage = Stage::AtCall(body);
+                    self.pending.push(Pending::Other(Event::NeedsCall(id)));
+                }
+            }
+            Msg::Meters(tag, values) => {
+                if self.meter.is_some_and(|(asked, _)| asked == tag) {
+                    self.meter = None;
+                    self.pending.push(Pending::Other(Event::Wake(self.site.gauges(&values))));
+                }
+                if self.barrier == Some(tag) {
+                    self.barrier = None;
+                    self.send_again();
+                }
+            }
+            Msg::NotCarriedOut(rid) => {
+                warn!(self.log, "the executor would not run a request"; "rid" => %rid);
+                self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal));
+            }
+            Msg::CallDone(id, result, took) => self.call_done(id, result, took),
+            Msg::Drain => {
+                let left = self.stop.saturating_sub(self.limits.stop_margin);
+                info!(self.log, "notice to leave"; "left_ms" => left.as_millis() as u64, "owed" => self.board.owed());
+                self.pending.push(Pending::Other(Event::Leaving(Span::from_ms(left.as_secs_f64() * 1e3))));
+            }
+        }
+    }
+
+    fn arrived(&mut self, a: Arrival) {
+        let Arrival { rid, class, tenant, at, caller, resent, held_kb, body, once_key, may_have_run, reply } =
+            a;
+        let effect = self.site.settings.classes.get(class.0).map_or(Effect::Once, |c| c.effect);
+        let once = effect != Effect::Repeatable;
+        let hint = self.board.hint();
+        let key = once_key.filter(|_| once).map(|key| self.book.keys.hash(class, &key));
+        let repeats = key.is_some_and(|key| self.book.keys.find(key).is_some());
+        // An earlier try of it may have run, here in another life or elsewhere: running it could be the second.
+        if once && may_have_run {
+            return reply.give(Answer { outcome: Outcome::Failed(Failure::MayHaveRun), hint });
+        }
+        if self.policy.is_none() || (key.is_some() && !repeats && self.book.keys.full()) {
+            let stay_away = self.site.settings.max_retry_after;
+            return reply.give(Answer { outcome: Outcome::Refused { stay_away, give_up: false }, hint });
+        }
+        if self.book.find(rid).is_some() {
+            warn!(self.log, "a request id came twice"; "rid" => %rid);
+            return reply.give(Answer { outcome: Outcome::Failed(Failure::Internal), hint });
+        }
+        let original = key.and_then(|key| self.book.keys.find(key));
+        let (stage, reply) = (Stage::Held, Some(reply));
+        let id = self.book.enter(Entry { rid, class, body, reply, stage, repeats, unsure: false, key });
+        self.board.owed.fetch_add(1, Relaxed);
+        let request = Request {
+            id,
+            class,
+            tenant,
+            has_key: false,
+            wait_left: None,
+            hint: None,
+            held_kb,
+            resent,
+            write: once,
+            caller,
+            age: Span(0),
+            repeats: original,
+        };
+        self.pending.push(Pending::Read(request, at));
+    }
+
+    fn executor_up(&mut self, cold: bool, age: Duration) {
+        self.linked = true;
+        if self.policy.is_some() {
+            let tag = self.tag();
+            self.barrier = Some(tag).filter(|_| self.peers.executor.try_send(ToExecutor::Meter(tag)).is_ok());
+            return;
+        }
+        // The module counts its warming from the executor's start, which may lie before the link.
+        let settings = Settings { cold, ..self.site.settings.clone() };
+        let mut policy = match Policy::new(settings, self.seed) {
+            Ok(policy) => policy,
+            Err(e) => return warn!(self.log, "settings"; "error" => %e),
+        };
+        let age = Span::from_ms(age.as_secs_f64() * 1e3);
+        let mut actions = Vec::new();
+        policy.handle(unix_now() - age, &[], &mut actions);
+        self.policy = Some(policy);
+        info!(self.log, "executor up"; "cold" => cold, "age_ms" => age.ms());
+        actions.into_iter().for_each(|action| self.act(action));
+        self.board.serving.store(true, Relaxed);
+    }
+
+    /// After a break: all notices up to now are read, so what is still unsure was never heard of. What may safely
+    /// run again is sent again, which does nothing if it runs; what must run once is never sent a second time
+    /// and, if its command was lost, fails at its due time.
+    fn send_again(&mut self) {
+        let Module { site, book, peers, .. } = self;
+        for entry in book.all() {
+            let unsure = std::mem::take(&mut entry.unsure);
+            let class = site.settings.classes.get(entry.class.0);
+            let safe = class.is_some_and(|c| c.effect == Effect::Repeatable);
+            if unsure && safe && entry.reply.is_some() && entry.stage == Stage::Running {
+                let name = site.class_name(entry.class).to_string();
+                let _ = peers.executor.try_send(ToExecutor::Exec(entry.rid, name, entry.body.clone()));
+            }
+        }
+    }
+
+    fn exit(&mut self, rid: Rid, how: RunExit) {
+        let (end, outcome) = match how {
+            RunExit::Done(body) => (RunEnd::Served, Outcome::Served(body)),
+            RunExit::Error => (RunEnd::Failed, Outcome::Failed(Failure::Run)),
+            RunExit::Stopped => (RunEnd::Stopped, Outcome::Failed(Failure::Run)),
+            RunExit::Moot => (RunEnd::Moot, Outcome::Failed(Failure::Internal)),
+        };
+        self.over(rid, end, outcome);
+    }
+
+    /// A run is over: the answer goes out at once if it is still owed, and the module hears of it.
+    fn over(&mut self, rid: Rid, end: RunEnd, outcome: Outcome) {
+        let Some(id) = self.book.find(rid) else {
+            return debug!(self.log, "end of a request that is over"; "rid" => %rid);
+        };
+        self.answer(id, outcome);
+        self.book.remove(id);
+        self.pending.push(Pending::Other(Event::Finished(id, end)));
+    }
+
+    fn call_done(&mut self, id: RequestId, result: CallResult, took: Duration) {
+        let Some(entry) = self.book.get(id) else { return };
+        let Stage::Calling(body) = &entry.stage else { return };
+        let end = match result {
+            CallResult::Reply(reply) => {
+                entry.stage = Stage::Running;
+                let back = ToExecutor::Return(entry.rid, reply);
+                if self.peers.executor.try_send(back).is_err() {
+                    warn!(self.log, "no room for a reply"; "rid" => %entry.rid);
+                }
+                CallEnd::Good
+            }
+            CallResult::NeverRan => {
+                entry.stage = Stage::AtCall(body.clone());
+                CallEnd::NeverRan
+            }
+            CallResult::Unknown => {
+                entry.stage = Stage::AtCall(body.clone());
+                CallEnd::Failed
+            }
+        };
+        let took = Span::from_ms(took.as_secs_f64() * 1e3);
+        self.pending.push(Pending::Other(Event::CallEnded(id, end, took)));
+    }
+
+    // ---- what goes out ----
+
+    /// Gives the answer if it is still owed.
+    fn answer(&mut self, id: RequestId, outcome: Outcome) {
+        let hint = self.board.hint();
+        if let Some(reply) = self.book.get(id).and_then(|entry| entry.reply.take()) {
+            self.board.owed.fetch_sub(1, Relaxed);
+            reply.give(Answer { outcome, hint });
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Run(id) => self.start(id),
+            Action::Stop(id) => {
+                if let Some(entry) = self.book.get(id).filter(|e| e.ran()) {
+                    // If the command is lost, the run ends by itself and its result is dropped.
+                    let _ = self.peers.executor.try_send(ToExecutor::Kill(entry.rid));
+                }
+            }
+            Action::Refuse { id, stay_away, give_up } => {
+                let Some(entry) = self.book.get(id) else { return };
+                let class = self.site.settings.classes.get(entry.class.0);
+                let safe = class.is_some_and(|c| c.effect == Effect::Repeatable);
+                let outcome = if entry.ran() && !safe {
+                    Outcome::Failed(Failure::GivenUp)
+                } else {
+                    Outcome::Refused { stay_away, give_up }
+                };
+                self.end_held(id, outcome);
+            }
+            Action::Fail(id) => {
+                let Some(entry) = self.book.get(id) else { return };
+                let why = if entry.repeats { Failure::MayHaveRun } else { Failure::GivenUp };
+                self.end_held(id, Outcome::Failed(why));
+            }
+            Action::Call(id, limit) => {
+                let Some(entry) = self.book.get(id) else { return };
+                let Stage::AtCall(body) = &entry.stage else { return };
+                let (rid, body) = (entry.rid, body.clone());
+                entry.stage = Stage::Calling(body.clone());
+                let limit = Duration::from_micros(limit.0.unsigned_abs());
+                if self.peers.database.try_send(Call { id, rid, body, limit }).is_err() {
+                    self.call_done(id, CallResult::NeverRan, Duration::ZERO);
+                }
+            }
+            Action::Health(ready) => self.board.ready.store(ready, Relaxed),
+            Action::FreeValue(value) => self.board.hint.store(value.to_bits(), Relaxed),
+            Action::CloseIdle(span) => self.board.idle_us.store(span.0, Relaxed),
+            Action::WakeIn(span) => {
+                let at = Instant::now() + Duration::from_micros(span.0.unsigned_abs());
+                self.timers.push(Reverse(at));
+            }
+            Action::Log(text) => info!(self.log, "{}", text),
+            // Settings that would lead to these are turned down at the start, see `config`.
+            Action::SkipCall(_) | Action::Remember(..) | Action::Forget(_) | Action::Join(_) => {
+                warn!(self.log, "an action that no wire here carries"; "action" => ?action);
+            }
+        }
+    }
+
+    fn start(&mut self, id: RequestId) {
+        let Some(entry) = self.book.get(id).filter(|e| e.stage == Stage::Held) else { return };
+        let name = self.site.class_name(entry.class).to_string();
+        let exec = ToExecutor::Exec(entry.rid, name, entry.body.clone());
+        if self.peers.executor.try_send(exec).is_ok() {
+            entry.stage = Stage::Running;
+        } else {
+            let stay_away = self.site.settings.max_retry_after;
+            self.end_held(id, Outcome::Refused { stay_away, give_up: false });
+            self.pending.push(Pending::Other(Event::Finished(id, RunEnd::Moot)));
+        }
+    }
+
+    /// Answers a request; one that never ran is over with that, one that runs stays in the book until its end.
+    fn end_held(&mut self, id: RequestId, outcome: Outcome) {
+        self.answer(id, outcome);
+        if self.book.get(id).is_some_and(|e| !e.ran()) {
+            self.book.remove(id);
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -189,13 +189,70 @@
     InternalError { body_text: String },
 }
 
-struct Server {
-    policy: Policy,
+/// What a server is told at its start, and the names it is told by.
+pub struct Site {
+    /// All that bears on decisions.
+    pub settings: Settings,
     classes: BTreeMap<String, usize>,
     tenants: BTreeMap<String, u64>,
     gauges: Vec<String>,
 }
 
+impl Site {
+    /// Reads the settings object of the first message; a real node finds the same one in its configuration.
+    pub fn from_json(value: &Value) -> Result<Site, String> {
+        Facts::deserialize(value).map(|facts| Site::new(&facts)).map_err(|e| e.to_string())
+    }
+
+    fn new(facts: &Facts) -> Site {
+        Site {
+            settings: settings(facts),
+            classes: facts.lanes.iter().enumerate().map(|(i, l)| (l.name.clone(), i)).collect(),
+            tenants: facts.tenants.iter().enumerate().map(|(i, t)| (t.name.clone(), i as u64)).collect(),
+            gauges: facts.specifics.gauges.clone(),
+        }
+    }
+
+    /// The class of this name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.get(name).copied().map(ClassId)
+    }
+
+    /// The name of a class, empty past the last.
+    pub fn class_name(&self, id: ClassId) -> &str {
+        self.classes.iter().find(|(_, at)| **at == id.0).map_or("", |(name, _)| name)
+    }
+
+    /// The tenant of this name; one that the settings lack gets a steady number past all told ones.
+    pub fn tenant(&self, name: &str) -> TenantId {
+        TenantId(self.tenants.get(name).copied().unwrap_or_else(|| stranger(name)))
+    }
+
+    /// Whether the settings name this tenant.
+    pub fn knows_tenant(&self, name: &str) -> bool {
+        self.tenants.contains_key(name)
+    }
+
+    /// Readings in the order of the settings, by their names.
+    pub fn gauges(&self, values: &[f64]) -> Gauges {
+        let read = |name: &str| {
+            let at = self.gauges.iter().position(|g| g == name)?;
+            values.get(at).copied()
+        };
+        Gauges {
+            cores_busy: read("cpu_busy"),
+            runnable: read("runnable"),
+            memory_used: read("mem_used"),
+            connections: read("sockets"),
+        }
+    }
+}
+
+struct Server {
+    policy: Policy,
+    site: Site,
+}
+
 /// The servers hosted by one adapter process, by number.
 #[derive(Default)]
 pub struct Host {
@@ -270,10 +327,9 @@
 
 impl Server {
     fn new(facts: &Facts, seed: u64) -> Result<Server, String> {
-        let policy = Policy::new(settings(facts), seed).map_err(|e| e.to_string())?;
-        let classes = facts.lanes.iter().enumerate().map(|(i, l)| (l.name.clone(), i)).collect();
-        let tenants = facts.tenants.iter().enumerate().map(|(i, t)| (t.name.clone(), i as u64)).collect();
-        Ok(Server { policy, classes, tenants, gauges: facts.specifics.gauges.clone() })
+        let site = Site::new(facts);
+        let policy = Policy::new(site.settings.clone(), seed).map_err(|e| e.to_string())?;
+        Ok(Server { policy, site })
     }
 
     fn event(&self, event: EventIn) -> Result<Event, String> {
@@ -300,23 +356,21 @@
             EventIn::Blocked(b) => Event::NeedsCall(RequestId(b.msg_id)),
             EventIn::Left(l) => Event::CallerLeft(RequestId(l.msg_id)),
             EventIn::Notice { time_left } => Event::Leaving(span(time_left)?),
-            EventIn::Reminder { pressure } => Event::Wake(self.gauges(&pressure)),
+            EventIn::Reminder { pressure } => Event::Wake(self.site.gauges(&pressure)),
             EventIn::Spawn(_) | EventIn::Retire {} => return Err("start or stop out of place".into()),
         })
     }
 
     fn request(&self, q: QueryIn) -> Result<Request, String> {
         let wait = q.time_left.filter(|t| *t > 0.0).map(span).transpose()?;
-        let class = self.classes.get(&q.r#type).copied().unwrap_or(self.classes.len());
+        let class = self.site.class(&q.r#type).unwrap_or(ClassId(self.site.classes.len()));
         let tenant = match &q.user_group {
-            Some(Value::String(name)) if !name.is_empty() => {
-                Some(TenantId(self.tenants.get(name).copied().unwrap_or_else(|| stranger(name))))
-            }
+            Some(Value::String(name)) if !name.is_empty() => Some(self.site.tenant(name)),
             _ => None,
         };
         Ok(Request {
             id: RequestId(q.msg_id),
-            class: ClassId(class),
+            class,
             tenant,
             has_key: matches!(&q.entity, Some(Value::String(key)) if !key.is_empty()),
             wait_left: wait,
@@ -329,19 +383,6 @@
             repeats: q.same_as.filter(|id| *id > 0).map(RequestId),
         })
     }
-
-    fn gauges(&self, values: &[f64]) -> Gauges {
-        let read = |name: &str| {
-            let at = self.gauges.iter().position(|g| g == name)?;
-            values.get(at).copied()
-        };
-        Gauges {
-            cores_busy: read("cpu_busy"),
-            runnable: read("runnable"),
-            memory_used: read("mem_used"),
-            connections: read("sockets"),
-        }
-    }
 }
 
 fn span(ms: f64) -> Result<Span, String> {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1,7 +1,7 @@
 //! The mechanism and its guards, each through the module's face.
 mod common;
 use common::*;
-use reachshift::*;
+use mothwinch::*;
 
 #[test]
 fn settings_that_contradict_themselves_are_told_apart() {
@@ -493,7 +493,11 @@
     let mut s = Server::new(set);
     for k in 0..60_u64 {
         let ids: Vec<u64> = (0..5).map(|n| 10 + 5 * k + n).collect();
-        let read = |id: &u64| Request { tenant: Some(TenantId(0)), resent: id % 5 != 0, ..request(*id, 0) };
+        let read = |id: &u64| Request {
+            tenant: Some(TenantId(0)),
+            resent: !id.is_multiple_of(5),
+            ..request(*id, 0)
+        };
         s.at(s.now + 490.0, &ids.iter().map(|id| Event::Read(read(id))).collect::<Vec<_>>());
         let ends: Vec<Event> = ids.iter().map(|id| Event::Finished(RequestId(*id), RunEnd::Served)).collect();
         s.at(s.now + 10.0, &ends);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,5 +1,5 @@
 //! The adapter: shapes in, shapes out, and one plain line about what is malformed.
-use reachshift::wire::Host;
+use mothwinch::wire::Host;
 use serde_json::{json, Value};
 
 fn facts() -> Value {
