--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,14 @@
 //! A `Policy` is `Send`; one server drives it through `&mut self`, while [`Sketch`] counts through `&self`
 //! and may be read from any thread.
 //!
-//! [`node`] is the core that drives it on real time and knows no wire; [`net`] holds the platform's wires.
+//! [`node`] is the core that drives it on real time and knows no wire; [`net`] holds the platform's wires and
+//! [`amqp`] the queues', which an [`inventory`] names.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod amqp;
 mod interface;
+pub mod inventory;
 mod logic;
 pub mod net;
 pub mod node;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,29 +3,40 @@
 
 use std::io;
 use std::net::TcpListener;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{after, bounded, select, Receiver, Sender};
+use mothwinch::amqp::Amqp;
+use mothwinch::inventory::{self, InventoryError};
 use mothwinch::net::jsonrpc::Front;
 use mothwinch::net::{database, executor, membership, spawn};
 use mothwinch::node::config::{Config, ConfigError};
 use mothwinch::node::{Board, Limits, Module, Msg, Peers};
 use slog::{info, o, Drain, Logger};
 
-const USAGE: &str = "usage: mothwinch (PROXY_CONFIG names the configuration)";
+const USAGE: &str = "usage: mothwinch [--inventory FILE]\n\nPROXY_CONFIG names the configuration; FILE (.yaml, .yml or .csv) the broker queues to consume from.";
 /// Stack of the module's thread, which runs the decisions.
 const MODULE_STACK: usize = 1024 * 1024;
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    if let Some(arg) = args.first() {
-        let known = arg == "--help";
-        eprintln!("{USAGE}");
-        return if known { ExitCode::SUCCESS } else { ExitCode::from(2) };
-    }
-    match Config::from_env().map_err(StartError::Config).and_then(serve) {
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    let inventory = match args[..] {
+        [] => None,
+        ["--inventory", file] => Some(PathBuf::from(file)),
+        ["--help"] => {
+            println!("{USAGE}");
+            return ExitCode::SUCCESS;
+        }
+        _ => {
+            eprintln!("{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match serve(inventory.as_deref()) {
         Ok(code) => code,
         Err(e) => {
             eprintln!("mothwinch: {e}");
@@ -38,12 +49,14 @@
 #[derive(Debug)]
 enum StartError {
     Config(ConfigError),
+    Inventory(InventoryError),
     System(&'static str, io::Error),
 }
 impl std::fmt::Display for StartError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             StartError::Config(e) => write!(f, "{e}"),
+            StartError::Inventory(e) => write!(f, "{e}"),
             StartError::System(what, e) => write!(f, "{what}: {e}"),
         }
     }
@@ -55,10 +68,15 @@
     Logger::root(drain, o!("node" => name.to_string()))
 }
 
-fn serve(config: Config) -> Result<ExitCode, StartError> {
+fn serve(inventory: Option<&Path>) -> Result<ExitCode, StartError> {
+    let config = Config::from_env().map_err(StartError::Config)?;
+    let env = |name: &str| std::env::var(name).ok();
+    let queues = inventory.map_or(Ok(Vec::new()), |file| inventory::read(file, &config.site, env));
+    let queues = queues.map_err(StartError::Inventory)?;
     let system = |what| move |e| StartError::System(what, e);
     let log = logger(&config.name);
-    let limits = Limits::new(config.sockets);
+    let mut limits = Limits::new(config.sockets);
+    limits.connections = limits.connections.saturating_sub(queues.len());
     let signals = signals(&limits).map_err(system("signals"))?;
     let listener = TcpListener::bind(config.listen).map_err(system("listen"))?;
 
@@ -94,6 +112,9 @@
     spawn("list", limits.stack, move || membership::run(at, &name, &own, &own_board, &list_inbox, &own_log))
         .map_err(system("threads"))?;
     let front_log = log.new(o!("actor" => "front"));
+    let amqp_log = log.new(o!("actor" => "amqp"));
+    let amqp = Amqp::start(queues, (site.clone(), config.seed), &limits, &board, &module, &amqp_log)
+        .map_err(system("threads"))?;
     let front =
         Front::start(listener, site, &limits, &board, &module, &front_log).map_err(system("threads"))?;
     info!(log, "listening"; "at" => %config.listen);
@@ -107,10 +128,11 @@
     let _ = module.send(Msg::Drain);
     let _ = to_list.send(membership::Report::Out);
     front.farewell();
+    amqp.leave();
     let stop = config.stop.saturating_sub(limits.stop_margin / 4);
     let mut closed = false;
     loop {
-        let quiet = front.open() == 0 && board.owed() == 0;
+        let quiet = front.open() == 0 && board.owed() == 0 && amqp.has_left();
         // Who has not heard of the notice yet still comes; those that are early enough are served.
         if !closed && quiet && told.elapsed() > grace {
             closed = true;
@@ -118,7 +140,8 @@
             front.farewell();
         }
         if (closed && quiet && front.connections() == 0) || told.elapsed() >= stop {
-            info!(log, "left"; "owed" => board.owed(), "unwritten" => front.open(), "ms" => told.elapsed().as_millis() as u64);
+            info!(log, "left"; "owed" => board.owed(), "unwritten" => front.open(),
+                "unsettled" => amqp.unsettled(), "ms" => told.elapsed().as_millis() as u64);
             return Ok(ExitCode::SUCCESS);
         }
         select! {
--- a/src/net/jsonrpc/message.rs
+++ b/src/net/jsonrpc/message.rs
@@ -55,6 +55,7 @@
             body: Body::from_base64(self.body),
             once_key: None,
             may_have_run: false,
+            unwanted: false,
             reply,
         }
     }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -43,6 +43,20 @@
     pub drain_tick: Duration,
     /// Keys remembered as run in this life: 16 bytes each and the table's room.
     pub once_keys: usize,
+    /// Bytes of an AMQP frame, offered to the broker; every broker allows 4 KiB.
+    pub amqp_frame: usize,
+    /// Bytes of a message, as of a request by JSON-RPC.
+    pub amqp_body: usize,
+    /// Frames read and not yet looked at.
+    pub amqp_frames: usize,
+    /// Time for each step of agreeing on a connection, and of closing it.
+    pub amqp_handshake: Duration,
+    /// The heartbeat offered; the broker's own holds if it is shorter.
+    pub amqp_heartbeat: Duration,
+    /// The longest pause before a broker is tried again.
+    pub amqp_reconnect_most: Duration,
+    /// Stack of a thread that decodes frames.
+    pub amqp_stack: usize,
     /// Stack of a thread: nothing here recurses.
     pub stack: usize,
 }
@@ -72,6 +86,13 @@
             stop_margin: Duration::from_millis(120),
             drain_tick: Duration::from_millis(5),
             once_keys: 500_000,
+            amqp_frame: 8192,
+            amqp_body: 2048,
+            amqp_frames: 64,
+            amqp_handshake: Duration::from_secs(5),
+            amqp_heartbeat: Duration::from_secs(10),
+            amqp_reconnect_most: Duration::from_secs(5),
+            amqp_stack: 8 * 1024 * 1024,
             stack: 160 * 1024,
         }
     }
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -201,18 +201,19 @@
     }
 
     fn arrived(&mut self, a: Arrival) {
-        let Arrival { rid, class, tenant, at, caller, resent, held_kb, body, once_key, may_have_run, reply } =
-            a;
+        let Arrival { rid, class, tenant, at, caller, resent, held_kb, body, reply, .. } = a;
         let effect = self.site.settings.classes.get(class.0).map_or(Effect::Once, |c| c.effect);
         let once = effect != Effect::Repeatable;
         let hint = self.board.hint();
-        let key = once_key.filter(|_| once).map(|key| self.book.keys.hash(class, &key));
-        let repeats = key.is_some_and(|key| self.book.keys.find(key).is_some());
+        let key = a.once_key.filter(|_| once).map(|key| self.book.keys.hash(class, &key));
+        let original = key.and_then(|key| self.book.keys.find(key));
+        let repeats = original.is_some();
         // An earlier try of it may have run, here in another life or elsewhere: running it could be the second.
-        if once && may_have_run {
+        if (once && a.may_have_run) || (repeats && a.unwanted) {
             return reply.give(Answer { outcome: Outcome::Failed(Failure::MayHaveRun), hint });
         }
-        if self.policy.is_none() || (key.is_some() && !repeats && self.book.keys.full()) {
+        let no_room = key.is_some() && !repeats && self.book.keys.full();
+        if self.policy.is_none() || no_room || a.unwanted {
             let stay_away = self.site.settings.max_retry_after;
             return reply.give(Answer { outcome: Outcome::Refused { stay_away, give_up: false }, hint });
         }
@@ -220,7 +221,6 @@
             warn!(self.log, "a request id came twice"; "rid" => %rid);
             return reply.give(Answer { outcome: Outcome::Failed(Failure::Internal), hint });
         }
-        let original = key.and_then(|key| self.book.keys.find(key));
         let (stage, reply) = (Stage::Held, Some(reply));
         let id = self.book.enter(Entry { rid, class, body, reply, stage, repeats, unsure: false, key });
         self.board.owed.fetch_add(1, Relaxed);
@@ -248,7 +248,9 @@
             self.barrier = Some(tag).filter(|_| self.peers.executor.try_send(ToExecutor::Meter(tag)).is_ok());
             return;
         }
-        // The module counts its warming from the executor's start, which may lie before the link.
+        // The module counts its warming from the executor's start, which may lie before the link. A warm one may
+        // have been up for hours, which would only run the module's clocks past all that they measure.
+        let age = if cold { age } else { Duration::ZERO };
         let settings = Settings { cold, ..self.site.settings.clone() };
         let mut policy = match Policy::new(settings, self.seed) {
             Ok(policy) => policy,
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -154,6 +154,8 @@
     pub once_key: Option<Box<str>>,
     /// The front has been told that an earlier try may have run.
     pub may_have_run: bool,
+    /// Read only to be handed back: it is refused unless it may have run, and never runs.
+    pub unwanted: bool,
     /// The right to answer it.
     pub reply: Reply,
 }
