--- a/src/main.rs
+++ b/src/main.rs
@@ -117,7 +117,7 @@
         .map_err(system("threads"))?;
     let front =
         Front::start(listener, site, &limits, &board, &module, &front_log).map_err(system("threads"))?;
-    info!(log, "listening"; "at" => %config.listen);
+    info!(log, "listening"; "at" => %front.address());
 
     select! {
         recv(signals) -> _ => {}
--- a/src/net/jsonrpc/mod.rs
+++ b/src/net/jsonrpc/mod.rs
@@ -76,6 +76,10 @@
         Ok(front)
     }
 
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
     /// Requests read and not yet answered on the wire.
     pub fn open(&self) -> usize {
         self.open.load(SeqCst)
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,247 @@
+//! The program on real sockets, among stand-ins: what a front end sees, and what the peers are asked.
+
+mod stand_ins;
+
+use serde_json::{json, Value};
+use stand_ins::*;
+
+fn code(answer: &Value) -> i64 {
+    answer["error"]["code"].as_i64().unwrap_or(0)
+}
+fn body(answer: &Value) -> String {
+    unbase64(answer["result"]["body"].as_str().expect("a result"))
+}
+
+const READ: &str = "statement-read";
+const POST: &str = "settlement-post";
+const REFUSED: i64 = -32002;
+
+/// Guards against the actor that counted its first round from a moment that never passed: no batch was ever
+/// handled, every request was lost, and the thread burnt a core.
+#[test]
+fn first_request_is_served_with_the_executors_result() {
+    let node = Node::start();
+    let mut front = node.front();
+    let answer = front.ask(READ, "serve:first");
+    assert_eq!(body(&answer), "done serve:first");
+    assert_eq!(node.executor.runs("serve:first"), 1);
+}
+
+#[test]
+fn a_run_that_fails_is_answered_as_failed_not_refused() {
+    let node = Node::start();
+    let answer = node.front().ask(POST, "fail");
+    assert!(code(&answer) != 0 && code(&answer) != REFUSED, "{answer}");
+}
+
+#[test]
+fn a_call_goes_to_the_database_and_its_reply_back_unchanged() {
+    let node = Node::start();
+    let answer = node.front().ask(POST, "call:ok#1");
+    assert_eq!(body(&answer), "rows for ok#1");
+    assert_eq!(node.database.calls("ok#1"), 1);
+}
+
+/// Guards the single effect: a connection that breaks under a call proves nothing, so it is not repeated.
+#[test]
+fn a_call_that_broke_is_repeated_for_reads_only() {
+    let node = Node::start();
+    let mut front = node.front();
+    let answer = front.ask(POST, "call:break#post");
+    assert!(code(&answer) != 0 && code(&answer) != REFUSED, "{answer}");
+    assert_eq!(node.database.calls("break#post"), 1);
+    front.send(READ, "call:break#read");
+    until("the read's call is repeated", || node.database.calls("break#read") > 1);
+}
+
+#[test]
+fn a_call_that_never_ran_is_made_again_also_for_a_post() {
+    let node = Node::start();
+    for body in ["busy#post", "gone#post"] {
+        node.front().send(POST, &format!("call:{body}"));
+        until("the call is repeated", || node.database.calls(body) > 1);
+    }
+}
+
+#[test]
+fn what_hangs_is_failed_by_its_due_time_and_stopped() {
+    let node = Node::start();
+    let begun = unix_ms();
+    let answer = node.front().ask(POST, "hang");
+    let took = unix_ms() - begun;
+    assert!(code(&answer) != 0 && code(&answer) != REFUSED, "{answer}");
+    assert!(took >= 1300, "due after 1500 ms, answered after {took}");
+    until("the run is stopped", || node.executor.killed() == 1);
+}
+
+/// Due times run from when a request came to the machine, not from when it was read.
+#[test]
+fn the_due_time_runs_from_t0() {
+    let node = Node::start();
+    let begun = unix_ms();
+    let mut front = node.front();
+    front.send_from(POST, "hang", begun - 1200);
+    let answer = front.next();
+    assert!(code(&answer) != 0, "{answer}");
+    assert!(unix_ms() - begun < 1300, "answered {} ms after the reading", unix_ms() - begun);
+}
+
+#[test]
+fn malformed_input_gets_the_standard_errors_and_the_connection_lives() {
+    let node = Node::start();
+    let mut front = node.front();
+    let good = json!({"rid": "0123456789abcdef", "t0": 1, "peer": 1, "mem": 1.0, "prio": 0.1, "body": ""});
+    let with = |key: &str, value: Value| {
+        let mut params = good.clone();
+        params[key] = value;
+        json!({"jsonrpc": "2.0", "id": 7, "method": READ, "params": params}).to_string()
+    };
+    let cases = [
+        ("{".to_string(), -32700, Value::Null),
+        ("[]".to_string(), -32600, Value::Null),
+        (json!({"id": 7, "method": READ}).to_string(), -32600, json!(7)),
+        (json!({"jsonrpc": "2.0", "id": "x", "method": READ}).to_string(), -32600, Value::Null),
+        (json!({"jsonrpc": "2.0", "id": 7}).to_string(), -32600, json!(7)),
+        (json!({"jsonrpc": "2.0", "id": 7, "method": "nonsense"}).to_string(), -32601, json!(7)),
+        (json!({"jsonrpc": "2.0", "id": 7, "method": READ}).to_string(), -32602, json!(7)),
+        (with("rid", json!("short")), -32602, json!(7)),
+        (with("mem", json!(-1)), -32602, json!(7)),
+        (with("t0", json!("noon")), -32602, json!(7)),
+    ];
+    for (line, want, id) in cases {
+        front.raw(&line);
+        let answer = front.next();
+        assert_eq!((code(&answer), &answer["id"]), (want, &id), "{line}");
+    }
+    front.raw("{\"jsonrpc\":\"2.0\",\"method\":\"statement-read\"}");
+    assert_eq!(body(&front.ask(READ, "serve")), "done serve");
+}
+
+/// Guards our memory: a line without an end must not grow without bound.
+#[test]
+fn a_line_without_end_closes_the_connection() {
+    let node = Node::start();
+    let mut front = node.front();
+    front.raw(&"x".repeat(64 * 1024));
+    assert_eq!(front.next(), Value::Null);
+    assert_eq!(body(&node.front().ask(READ, "serve")), "done serve");
+}
+
+#[test]
+fn health_is_good_and_carries_the_hint_and_the_list_hears_of_the_node() {
+    let node = Node::start();
+    let mut front = node.front();
+    front.ask(READ, "serve");
+    let mut answer = Value::Null;
+    until("the hint is told", || {
+        answer = front.alive();
+        answer["result"]["hint"].is_number()
+    });
+    assert_eq!(answer["result"]["ready"], true);
+    until("it is on the list", || node.list.heard("HB n3 UP"));
+}
+
+/// Guards against a second run: after a break the command may have arrived. What runs goes on, its result comes
+/// with the notices that were missed, and nothing is run twice.
+#[test]
+fn a_broken_executor_link_loses_no_result_and_repeats_no_post() {
+    let node = Node::start();
+    let mut front = node.front();
+    assert_eq!(body(&front.ask(READ, "serve")), "done serve");
+    front.send(POST, "hang");
+    until("it runs", || node.executor.runs("hang") == 1);
+    node.executor.break_link();
+    node.executor.finish("hang");
+    assert_eq!(body(&front.next()), "late result");
+    assert_eq!(node.executor.runs("hang"), 1);
+    // The second link joined at the last notice that was read.
+    assert_eq!(node.executor.joins(), [0, 1]);
+}
+
+/// The requests of a connection that closes go on: the module and the executor still count them.
+#[test]
+fn a_closing_connection_does_not_end_its_requests() {
+    let node = Node::start();
+    let mut front = node.front();
+    front.send(POST, "hang");
+    until("it runs", || node.executor.runs("hang") == 1);
+    drop(front);
+    until("it is stopped at its due time and no sooner", || node.executor.killed() == 1);
+    assert_eq!(body(&node.front().ask(READ, "serve")), "done serve");
+}
+
+#[test]
+fn an_id_in_use_and_too_many_open_are_turned_down() {
+    let node = Node::start();
+    let mut front = node.front();
+    let t0 = unix_ms();
+    for n in 0..33 {
+        let params = json!({"rid": format!("{n:016x}"), "t0": t0, "peer": 1, "mem": 1.0, "prio": 0.1,
+                            "body": base64("hang")});
+        let id = if n == 1 { 1 } else { n + 1 };
+        front.raw(&json!({"jsonrpc": "2.0", "id": id, "method": POST, "params": params}).to_string());
+    }
+    let answers: Vec<Value> = (0..33).map(|_| front.next()).collect();
+    assert_eq!(answers.iter().filter(|a| code(a) == -32600).count(), 1, "the id in use: 32 more are open");
+    assert!(answers.iter().all(|a| a["error"].is_object()));
+}
+
+#[test]
+fn leaving_answers_all_runs_nothing_late_and_exits_well() {
+    let mut node = Node::start();
+    let mut front = node.front();
+    front.send(POST, "hang");
+    until("it runs", || node.executor.runs("hang") == 1);
+    let noticed = unix_ms();
+    node.terminate();
+    assert_eq!(front.next()["method"], "farewell");
+    until("the list hears of it", || node.list.heard("HB n3 OUT"));
+    // Who has not heard yet may still come, is served within the grace, and is told by the health answer.
+    let mut early = node.front();
+    early.send_from(READ, "serve:early", noticed);
+    assert_eq!(body(&early.next()), "done serve:early");
+    assert_eq!(early.alive()["result"]["ready"], false);
+    until("the grace of 500 ms is over", || unix_ms() > noticed + 1000);
+    let answer = early.ask(READ, "serve:late");
+    assert_eq!(code(&answer), REFUSED);
+    assert_eq!(node.executor.runs("serve:late"), 0);
+    let answer = front.next();
+    assert!(code(&answer) != 0 && code(&answer) != REFUSED, "{answer}");
+    drop((front, early));
+    assert_eq!(node.exit().code(), Some(0));
+}
+
+/// What is read is answered before the kill, also where its due time lies after it.
+#[test]
+fn leaving_answers_before_the_kill() {
+    let mut node = Node::start_with(None, 900);
+    let mut front = node.front();
+    front.send(POST, "hang");
+    until("it runs", || node.executor.runs("hang") == 1);
+    node.terminate();
+    assert_eq!(front.next()["method"], "farewell");
+    let answer = front.next();
+    assert!(code(&answer) != 0 && code(&answer) != REFUSED, "{answer}");
+    assert_eq!(node.exit().code(), Some(0));
+}
+
+#[test]
+fn a_configuration_that_can_not_be_used_is_one_line_and_no_start() {
+    let unused = "127.0.0.1:9".parse().expect("an address");
+    let mut keyed = config(unused, unused, unused);
+    keyed["settings"]["lanes"][0]["effect"] = json!("by_key");
+    let mut coreless = config(unused, unused, unused);
+    coreless["settings"]["specifics"]["cores"] = json!(0);
+    let cases = [
+        ("{".to_string(), "configuration:"),
+        (keyed.to_string(), "settings ask for classes run by key"),
+        (coreless.to_string(), "settings name no cores"),
+    ];
+    for (text, says) in cases {
+        let file = Scratch::new("bad.json", &text);
+        let output = command(&file).output().expect("the program starts");
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success());
+        assert!(said.contains(says) && said.lines().count() == 1, "{said}");
+    }
+}
--- /dev/null
+++ b/tests/stand_ins/mod.rs
@@ -0,0 +1,459 @@
+//! Stand-ins for all that a node talks to, on loopback, and the node itself as a process. What a run does is told
+//! by the request's body: `serve`, `fail`, `hang`, or `call:BODY` to make a call with that body first.
+#![allow(dead_code)]
+
+pub mod broker;
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
+use serde_json::{json, Value};
+
+/// The longest that a test waits for anything.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until something holds, and fails the test if it never does.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+pub fn base64(text: &str) -> String {
+    STANDARD.encode(text)
+}
+pub fn unbase64(text: &str) -> String {
+    String::from_utf8(STANDARD.decode(text).expect("base64")).expect("utf-8")
+}
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("clock").as_millis() as u64
+}
+
+/// The settings of a small site. The deadlines are short, so that what is late shows soon.
+pub fn settings() -> Value {
+    let lane = |name: &str, effect: &str, worth: f64| {
+        json!({"name": name, "promise": 1000.0, "deadline": 1500.0, "effect": effect, "lateWorth": 0.2,
+               "window": 5000.0, "worth": worth})
+    };
+    json!({
+        "round": 4.0, "servers": 2, "worthBy": "request", "overShareWorth": 0.1,
+        "lanes": [lane("statement-read", "repeatable", 1.0), lane("settlement-post", "once", 3.0)],
+        "tenants": [{"name": "alpenergia", "allowancePerS": 50.0}],
+        "policyLimits": {"maxRetryAfter": 1000.0},
+        "invariants": {"answerSlack": 100.0, "startCapacity": 0.22, "warmUp": 18000.0, "drainGrace": 500.0,
+                       "fallMultiple": 8.0, "fall": 3000.0},
+        "specifics": {"upstreams": 3, "callerIdle": 30000.0, "callsOut": 5.0, "classCalls": [true, true],
+                      "classSkipWorth": [0.0, 0.0], "cold": false, "cores": 6, "dependsOn": "one_for_all",
+                      "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"], "halt": "discard",
+                      "heardFor": 1000.0, "registryFollows": false, "heapKb": 26622.0, "keyKb": 133.24,
+                      "linger": 200.0, "runFactor": 8.0, "say": "weight", "shareFor": 0.0, "shareSpan": 5000.0},
+    })
+}
+
+fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().expect("a stand-in failed")
+}
+
+/// A server on loopback: `each` gets every connection, on a thread of its own.
+fn serve(each: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("loopback");
+    let each = Arc::new(each);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let each = each.clone();
+            thread::spawn(move || each(stream));
+        }
+    });
+    address
+}
+
+#[derive(Default)]
+struct Runs {
+    /// How often each body was run.
+    runs: HashMap<String, usize>,
+    /// Bodies of what runs now, by id, and whether it waits for a call.
+    running: HashMap<String, (String, bool)>,
+    killed: usize,
+    joins: Vec<u64>,
+    /// All notices so far; the first has the number 1.
+    notices: Vec<String>,
+    link: Option<TcpStream>,
+}
+
+impl Runs {
+    fn tell(&mut self, mut notice: Value) {
+        notice["pos"] = json!(self.notices.len() + 1);
+        let line = format!("{notice}\n");
+        self.write(&line);
+        self.notices.push(line);
+    }
+    fn write(&self, line: &str) {
+        if let Some(mut link) = self.link.as_ref() {
+            let _ = link.write_all(line.as_bytes());
+        }
+    }
+    fn exit(&mut self, uid: &str, code: &str, content: Option<&str>) {
+        if self.running.remove(uid).is_some() {
+            let content = content.map(base64);
+            self.tell(
+                json!({"action": "EXIT", "uid": uid, "code": code, "wall_ms": 1.0, "content": content}),
+            );
+        }
+    }
+    fn command(&mut self, command: &Value) {
+        let uid = command["uid"].as_str().unwrap_or("").to_string();
+        match command["action"].as_str() {
+            Some("EXEC") if !self.running.contains_key(&uid) => {
+                let body = unbase64(command["content"].as_str().expect("a body"));
+                *self.runs.entry(body.clone()).or_default() += 1;
+                self.running.insert(uid.clone(), (body.clone(), false));
+                let (verb, rest) = body.split_once(':').unwrap_or((&body, ""));
+                match verb {
+                    "serve" => self.exit(&uid, "OK", Some(&format!("done {body}"))),
+                    "fail" => self.exit(&uid, "ERROR", None),
+                    "call" => {
+                        self.running.insert(uid.clone(), (body.clone(), true));
+                        self.tell(json!({"action": "CALLOUT", "uid": uid, "content": base64(rest)}));
+                    }
+                    _ => {}
+                }
+            }
+            Some("RETURN") if self.running.get(&uid).is_some_and(|(_, waits)| *waits) => {
+                let reply = unbase64(command["content"].as_str().expect("a reply"));
+                self.exit(&uid, "OK", Some(&reply));
+            }
+            Some("KILL") => {
+                self.killed += 1;
+                self.exit(&uid, "STOPPED", None);
+            }
+            Some("METER") => {
+                let meters = json!({"action": "METERS", "echo": command["echo"], "meters": [0.1, 1, 0.1, 5]});
+                self.write(&format!("{meters}\n"));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The executor.
+#[derive(Clone)]
+pub struct Executor {
+    pub address: SocketAddr,
+    state: Arc<Mutex<Runs>>,
+}
+
+impl Executor {
+    pub fn start() -> Executor {
+        let state = Arc::new(Mutex::new(Runs::default()));
+        let shared = state.clone();
+        let address = serve(move |stream| {
+            for line in BufReader::new(stream.try_clone().expect("a link")).lines().map_while(Result::ok) {
+                let command: Value = serde_json::from_str(&line).expect("a command");
+                let mut state = lock(&shared);
+                if command["action"] == "JOIN" {
+                    let from = command["pos"].as_u64().expect("a number");
+                    state.joins.push(from);
+                    state.link = Some(stream.try_clone().expect("a link"));
+                    state.write("{\"action\":\"WELCOME\",\"code\":\"WARM\",\"wall_ms\":5}\n");
+                    let missed: String = state.notices.iter().skip(from as usize).cloned().collect();
+                    state.write(&missed);
+                } else {
+                    state.command(&command);
+                }
+            }
+        });
+        Executor { address, state }
+    }
+    /// How often a request with this body was run.
+    pub fn runs(&self, body: &str) -> usize {
+        lock(&self.state).runs.get(body).copied().unwrap_or(0)
+    }
+    /// The positions that links joined at.
+    pub fn joins(&self) -> Vec<u64> {
+        lock(&self.state).joins.clone()
+    }
+    pub fn killed(&self) -> usize {
+        lock(&self.state).killed
+    }
+    /// Ends a run that hangs, well.
+    pub fn finish(&self, body: &str) {
+        let mut state = lock(&self.state);
+        let uid = state.running.iter().find(|(_, (b, _))| b == body).map(|(uid, _)| uid.clone());
+        state.exit(&uid.expect("it runs"), "OK", Some("late result"));
+    }
+    /// Breaks the link; with `quietly`, what is told until the next one is only kept.
+    pub fn break_link(&self) {
+        if let Some(link) = lock(&self.state).link.take() {
+            let _ = link.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// The database. What a call does is told by its body: `ok`, `busy`, `gone`, `wrong`, `break` or `silent`.
+#[derive(Clone)]
+pub struct Database {
+    pub address: SocketAddr,
+    calls: Arc<Mutex<HashMap<String, usize>>>,
+}
+
+impl Database {
+    pub fn start() -> Database {
+        let calls = Arc::new(Mutex::new(HashMap::new()));
+        let shared = calls.clone();
+        let address = serve(move |stream| {
+            let mut from = BufReader::new(stream.try_clone().expect("a connection"));
+            while let Some(body) = read_call(&mut from) {
+                *lock(&shared).entry(body.clone()).or_default() += 1;
+                let reply = |status: &str, extra: &str, body: &str| {
+                    let text =
+                        format!("HTTP/1.1 {status}\r\n{extra}Content-Length: {}\r\n\r\n{body}", body.len());
+                    let _ = (&stream).write_all(text.as_bytes());
+                };
+                match body.split('#').next().unwrap_or("") {
+                    "ok" => reply("200 OK", "", &format!("rows for {body}")),
+                    "busy" => reply("503 Busy", "Never-Started: 1\r\n", ""),
+                    "gone" => reply("409 Conflict", "Never-Started: 1\r\n", ""),
+                    "wrong" => reply("500 Wrong", "", ""),
+                    "break" => return,
+                    _ => {}
+                }
+            }
+        });
+        Database { address, calls }
+    }
+    /// How often a call with this body came.
+    pub fn calls(&self, body: &str) -> usize {
+        lock(&self.calls).get(body).copied().unwrap_or(0)
+    }
+}
+
+fn read_call(from: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut length = 0;
+    let mut reference = false;
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        reference |= line.starts_with("request-ref: ") && line.len() == 13 + 16;
+        if let Some(text) = line.strip_prefix("content-length: ") {
+            length = text.parse().expect("a length");
+        }
+    }
+    assert!(reference, "a call names its request");
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    String::from_utf8(body).ok()
+}
+
+/// The membership service: keeps the reports.
+#[derive(Clone)]
+pub struct List {
+    pub address: SocketAddr,
+    reports: Arc<Mutex<Vec<String>>>,
+}
+
+impl List {
+    pub fn start() -> List {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback");
+        let address = socket.local_addr().expect("loopback");
+        let reports = Arc::new(Mutex::new(Vec::new()));
+        let shared = reports.clone();
+        thread::spawn(move || {
+            let mut datagram = [0; 256];
+            while let Ok(n) = socket.recv(&mut datagram) {
+                lock(&shared).push(String::from_utf8_lossy(&datagram[..n]).into_owned());
+            }
+        });
+        List { address, reports }
+    }
+    pub fn heard(&self, report: &str) -> bool {
+        lock(&self.reports).iter().any(|r| r == report)
+    }
+}
+
+/// A node as a process, with its stand-ins.
+pub struct Node {
+    pub executor: Executor,
+    pub database: Database,
+    pub list: List,
+    pub address: SocketAddr,
+    pub process: Child,
+    log: Arc<Mutex<String>>,
+}
+
+/// The configuration of a node with these peers.
+pub fn config(executor: SocketAddr, database: SocketAddr, list: SocketAddr) -> Value {
+    json!({"name": "n3", "listen": "127.0.0.1:0", "executor": executor, "members": list, "db": database,
+           "seed": "8c1f30d27a5be964", "stop_ms": 8000, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+           "settings": settings()})
+}
+
+/// A file of this test's own that goes with the value.
+pub struct Scratch(pub std::path::PathBuf);
+
+impl Scratch {
+    pub fn new(name: &str, text: &str) -> Scratch {
+        let own = format!("mothwinch-{}-{:?}", std::process::id(), thread::current().id());
+        let dir = std::env::temp_dir().join(own.replace(['(', ')'], ""));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let path = dir.join(name);
+        std::fs::write(&path, text).expect("a file");
+        Scratch(path)
+    }
+}
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+        if let Some(dir) = self.0.parent() {
+            let _ = std::fs::remove_dir(dir);
+        }
+    }
+}
+
+/// The program's command line under this configuration.
+pub fn command(config: &Scratch) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_mothwinch"));
+    command.env("PROXY_CONFIG", &config.0).stderr(Stdio::piped()).stdout(Stdio::null()).stdin(Stdio::null());
+    command
+}
+
+impl Node {
+    /// A node that is up and serving.
+    pub fn start() -> Node {
+        Node::start_with(None, 8000)
+    }
+
+    /// The same with an inventory, and so long from the notice to leave to the kill.
+    pub fn start_with(inventory: Option<&Scratch>, stop_ms: u64) -> Node {
+        let (executor, database, list) = (Executor::start(), Database::start(), List::start());
+        let mut config = config(executor.address, database.address, list.address);
+        config["stop_ms"] = json!(stop_ms);
+        let file = Scratch::new("config.json", &config.to_string());
+        let mut command = command(&file);
+        if let Some(inventory) = inventory {
+            command.arg("--inventory").arg(&inventory.0).env("TEST_AMQP_PASSWORD", "guest");
+        }
+        let mut process = command.spawn().expect("the program starts");
+        let log = Arc::new(Mutex::new(String::new()));
+        let (shared, stderr) = (log.clone(), process.stderr.take().expect("a log"));
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                lock(&shared).push_str(&(line + "\n"));
+            }
+        });
+        let address = || {
+            let log = lock(&log);
+            let line = log.lines().find(|line| line.contains("listening"))?;
+            line.split("at: ").nth(1)?.split(',').next()?.parse().ok()
+        };
+        until("the node listens", || address().is_some());
+        let address = address().expect("an address");
+        let node = Node { executor, database, list, address, process, log };
+        let mut front = node.front();
+        until("the node is ready", || front.alive()["result"]["ready"] == true);
+        node
+    }
+
+    pub fn front(&self) -> Front {
+        Front::connect(self.address)
+    }
+    pub fn log(&self) -> String {
+        lock(&self.log).clone()
+    }
+    /// The notice to leave.
+    pub fn terminate(&self) {
+        let pid = self.process.id().to_string();
+        let sent = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {pid}")]).status().expect("kill");
+        assert!(sent.success());
+    }
+    /// Waits for the process to end by itself.
+    pub fn exit(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the node exits", || {
+            status = self.process.try_wait().expect("a child");
+            status.is_some()
+        });
+        status.expect("it has exited")
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        if thread::panicking() {
+            eprintln!("the node's log:\n{}", self.log());
+        }
+    }
+}
+
+/// A front end's connection.
+pub struct Front {
+    pub stream: TcpStream,
+    from: BufReader<TcpStream>,
+    next: u64,
+}
+
+impl Front {
+    pub fn connect(to: SocketAddr) -> Front {
+        let stream = TcpStream::connect(to).expect("the node listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        let from = BufReader::new(stream.try_clone().expect("a connection"));
+        Front { stream, from, next: 0 }
+    }
+    pub fn raw(&mut self, line: &str) {
+        self.stream.write_all(line.as_bytes()).expect("written");
+        self.stream.write_all(b"\n").expect("written");
+    }
+    /// Sends a request and returns its id.
+    pub fn send(&mut self, class: &str, body: &str) -> u64 {
+        self.send_from(class, body, unix_ms())
+    }
+    /// The same for one that came to the machine at `t0`.
+    pub fn send_from(&mut self, class: &str, body: &str, t0: u64) -> u64 {
+        self.next += 1;
+        let rid = format!("{:08x}{:08x}", self.stream.local_addr().expect("bound").port(), self.next);
+        let params = json!({"rid": rid, "t0": t0, "peer": 4, "acct": "alpenergia", "mem": 24.5, "prio": 0.5,
+                            "body": base64(body)});
+        self.raw(&json!({"jsonrpc": "2.0", "id": self.next, "method": class, "params": params}).to_string());
+        self.next
+    }
+    /// The next message; null at the end of the connection.
+    pub fn next(&mut self) -> Value {
+        let mut line = String::new();
+        match self.from.read_line(&mut line) {
+            Ok(0) => Value::Null,
+            Ok(_) => serde_json::from_str(&line).expect("JSON"),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => Value::Null,
+            Err(e) => panic!("no message: {e}"),
+        }
+    }
+    /// Sends a request and waits for its answer.
+    pub fn ask(&mut self, class: &str, body: &str) -> Value {
+        let id = self.send(class, body);
+        let answer = self.next();
+        assert_eq!(answer["id"], id);
+        answer
+    }
+    pub fn alive(&mut self) -> Value {
+        self.next += 1;
+        let id = self.next;
+        self.raw(&json!({"jsonrpc": "2.0", "id": id, "method": "alive"}).to_string());
+        self.next()
+    }
+}
