--- /dev/null
+++ b/tests/common/steps.rs
@@ -0,0 +1,11 @@
+//! Checks a state machine against a model of it by random steps.
+
+use quickcheck::{Arbitrary, Gen, QuickCheck, Testable};
+
+/// Runs `check` on sequences of steps, from a fixed seed: the same verdict every time. A failing sequence shrinks.
+pub fn check_steps<S: Arbitrary + std::fmt::Debug>(check: fn(Vec<S>) -> bool)
+where
+    fn(Vec<S>) -> bool: Testable,
+{
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, 0x6d6f_7468)).tests(2000).quickcheck(check);
+}
--- /dev/null
+++ b/tests/states.rs
@@ -0,0 +1,250 @@
+//! Models of the states of connections, against which random steps are checked.
+
+#[path = "common/steps.rs"]
+mod steps;
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use amq_protocol::frame::{AMQPContentHeader, AMQPFrame};
+use amq_protocol::protocol::basic::{self, AMQPMethod as Basic, AMQPProperties};
+use amq_protocol::protocol::channel::{self, AMQPMethod as Channel};
+use amq_protocol::protocol::confirm::{self, AMQPMethod as Confirm};
+use amq_protocol::protocol::AMQPClass;
+use amq_protocol::types::ShortString;
+use mothwinch::amqp::{Consumer, Settings, State, Step};
+use mothwinch::net::jsonrpc::{Breach, Session};
+use mothwinch::node::{Answer, Body, Failure, Outcome};
+use mothwinch::Span;
+use quickcheck::{Arbitrary, Gen};
+use steps::check_steps;
+
+#[derive(Clone, Debug)]
+enum Front {
+    Request(u64),
+    Answer(u64),
+    Farewell,
+    End,
+}
+impl Arbitrary for Front {
+    fn arbitrary(g: &mut Gen) -> Front {
+        match u8::arbitrary(g) % 8 {
+            0..=3 => Front::Request(u64::arbitrary(g) % 6),
+            4..=6 => Front::Answer(u64::arbitrary(g) % 6),
+            _ if bool::arbitrary(g) => Front::Farewell,
+            _ => Front::End,
+        }
+    }
+}
+
+/// A front connection owes exactly what came and was not answered, and is over only once it owes nothing.
+#[test]
+fn a_front_connection_owes_what_the_model_owes() {
+    fn check(steps: Vec<Front>) -> bool {
+        let now = Instant::now();
+        let mut session = Session::new(3, now);
+        let (mut open, mut told, mut ended) = (BTreeSet::new(), false, false);
+        steps.into_iter().all(|step| {
+            let same = match step {
+                Front::Request(id) => {
+                    let want = match () {
+                        () if open.contains(&id) => Err(Breach::IdInUse),
+                        () if open.len() == 3 => Err(Breach::TooMany),
+                        () => {
+                            open.insert(id);
+                            Ok(())
+                        }
+                    };
+                    session.request(id, now) == want
+                }
+                Front::Answer(id) => session.answered(id, now) == open.remove(&id),
+                Front::Farewell => session.farewell() != std::mem::replace(&mut told, true),
+                Front::End => {
+                    ended = true;
+                    session.end();
+                    true
+                }
+            };
+            let idle = session.idle_left(Duration::from_secs(1), now).is_some();
+            same && session.over() == (ended && open.is_empty())
+                && idle == open.is_empty()
+                && session.leaving() == told
+        })
+    }
+    check_steps(check);
+}
+
+#[derive(Clone, Debug)]
+enum Queue {
+    /// The broker answers whatever is asked of it.
+    Broker,
+    Deliver(bool),
+    /// The core answers one of the deliveries in hand: how, and which.
+    Answer(u8, usize),
+    /// The broker confirms one of the publishes, or turns it down.
+    Confirm(usize, bool),
+    Leave,
+}
+impl Arbitrary for Queue {
+    fn arbitrary(g: &mut Gen) -> Queue {
+        match u8::arbitrary(g) % 16 {
+            0..=4 => Queue::Broker,
+            5..=8 => Queue::Deliver(bool::arbitrary(g)),
+            9..=11 => Queue::Answer(u8::arbitrary(g) % 4, usize::arbitrary(g)),
+            12..=14 => Queue::Confirm(usize::arbitrary(g), bool::arbitrary(g)),
+            _ => Queue::Leave,
+        }
+    }
+}
+
+/// The broker's and the core's side of one channel.
+#[derive(Default)]
+struct Model {
+    /// What the consumer waits to hear.
+    asked: Vec<AMQPClass>,
+    /// Delivered and not settled, answers owed by the core, publishes not confirmed.
+    owed: BTreeSet<u64>,
+    in_hand: Vec<u64>,
+    publishes: Vec<u64>,
+    published: u64,
+    delivered: u64,
+    active: bool,
+}
+
+impl Model {
+    /// Takes what the consumer wants done; false if it breaks a rule.
+    fn take(&mut self, steps: &mut Vec<Step>) -> bool {
+        steps.drain(..).all(|step| match step {
+            Step::Deliver(delivery) => {
+                self.in_hand.push(delivery.tag);
+                true
+            }
+            Step::Malformed(_) => true,
+            Step::Gone(_) => false,
+            Step::Send(frame) => match *frame {
+                AMQPFrame::Method(_, AMQPClass::Basic(method)) => match method {
+                    // Settled once, and only after the core has answered.
+                    Basic::Ack(basic::Ack { delivery_tag: tag, multiple: false })
+                    | Basic::Nack(basic::Nack { delivery_tag: tag, multiple: false, .. })
+                    | Basic::Reject(basic::Reject { delivery_tag: tag, .. }) => {
+                        self.owed.remove(&tag) && !self.in_hand.contains(&tag)
+                    }
+                    Basic::Publish(_) => {
+                        self.published += 1;
+                        self.publishes.push(self.published);
+                        true
+                    }
+                    other => {
+                        self.asked.push(AMQPClass::Basic(other));
+                        true
+                    }
+                },
+                AMQPFrame::Method(_, method) => {
+                    // No channel is closed while anything is owed on it.
+                    let closing = matches!(method, AMQPClass::Channel(Channel::Close(_)));
+                    self.asked.push(method);
+                    !closing || self.owed.is_empty()
+                }
+                _ => true,
+            },
+        })
+    }
+
+    /// The broker's answer to what was asked.
+    fn answer(&mut self) -> Option<AMQPClass> {
+        let consumer_tag = ShortString::default();
+        Some(match self.asked.pop()? {
+            AMQPClass::Channel(Channel::Open(_)) => AMQPClass::Channel(Channel::OpenOk(channel::OpenOk {})),
+            AMQPClass::Channel(Channel::Close(_)) => {
+                AMQPClass::Channel(Channel::CloseOk(channel::CloseOk {}))
+            }
+            AMQPClass::Confirm(_) => AMQPClass::Confirm(Confirm::SelectOk(confirm::SelectOk {})),
+            AMQPClass::Basic(Basic::Qos(_)) => AMQPClass::Basic(Basic::QosOk(basic::QosOk {})),
+            AMQPClass::Basic(Basic::Consume(_)) => {
+                self.active = true;
+                AMQPClass::Basic(Basic::ConsumeOk(basic::ConsumeOk { consumer_tag }))
+            }
+            AMQPClass::Basic(Basic::Cancel(_)) => {
+                self.active = false;
+                AMQPClass::Basic(Basic::CancelOk(basic::CancelOk { consumer_tag }))
+            }
+            _ => return None,
+        })
+    }
+}
+
+/// Every delivery is settled exactly once, after its answer, and a channel closes only when nothing is owed.
+#[test]
+fn a_consumer_settles_as_the_model_does() {
+    fn check(steps: Vec<Queue>) -> bool {
+        let queue = ShortString::try_new("q").expect("short");
+        let set = Settings {
+            channel: 1,
+            queue,
+            prefetch: 9,
+            once: steps.len().is_multiple_of(2),
+            body: 99,
+            frame: 4096,
+        };
+        let (mut out, mut model) = (Vec::new(), Model::default());
+        let mut consumer = Consumer::new(set, &mut out);
+        model.take(&mut out)
+            && steps.into_iter().all(|step| {
+                match step {
+                    Queue::Broker => {
+                        if let Some(answer) = model.answer() {
+                            consumer.frame(AMQPFrame::Method(1, answer), &mut out);
+                        }
+                    }
+                    Queue::Deliver(reply) if model.active => {
+                        model.delivered += 1;
+                        model.owed.insert(model.delivered);
+                        let name = || ShortString::try_new("k").expect("short");
+                        let mut properties = AMQPProperties::default().with_message_id(name());
+                        if reply {
+                            properties = properties.with_reply_to(name());
+                        }
+                        let deliver = basic::Deliver {
+                            consumer_tag: name(),
+                            delivery_tag: model.delivered,
+                            redelivered: false,
+                            exchange: name(),
+                            routing_key: name(),
+                        };
+                        let method = AMQPClass::Basic(Basic::Deliver(deliver));
+                        let header = AMQPContentHeader { class_id: 60, body_size: 2, properties };
+                        consumer.frame(AMQPFrame::Method(1, method), &mut out);
+                        consumer.frame(AMQPFrame::Header(1, header), &mut out);
+                        consumer.frame(AMQPFrame::Body(1, b"hi".to_vec()), &mut out);
+                    }
+                    Queue::Answer(how, which) if !model.in_hand.is_empty() => {
+                        let outcome = match how {
+                            0 => Outcome::Served(Body::from_bytes(b"yes")),
+                            1 => Outcome::Refused { stay_away: Span(0), give_up: false },
+                            2 => Outcome::Failed(Failure::GivenUp),
+                            _ => Outcome::Failed(Failure::MayHaveRun),
+                        };
+                        let tag = model.in_hand.swap_remove(which % model.in_hand.len());
+                        let answer = Answer { outcome, hint: None };
+                        consumer.answer(tag, &answer, &mut out);
+                        // A second answer to the same delivery changes nothing.
+                        consumer.answer(tag, &answer, &mut out);
+                    }
+                    Queue::Confirm(which, taken) if !model.publishes.is_empty() => {
+                        let delivery_tag = model.publishes.remove(which % model.publishes.len());
+                        let method = if taken {
+                            Basic::Ack(basic::Ack { delivery_tag, multiple: false })
+                        } else {
+                            Basic::Nack(basic::Nack { delivery_tag, multiple: false, requeue: false })
+                        };
+                        consumer.frame(AMQPFrame::Method(1, AMQPClass::Basic(method)), &mut out);
+                    }
+                    Queue::Leave => consumer.leave(&mut out),
+                    _ => {}
+                }
+                let rules = model.take(&mut out) && consumer.unsettled() == model.owed.len();
+                rules && (consumer.state() != State::Closed || model.owed.is_empty())
+            })
+    }
+    check_steps(check);
+}
