Copies handed back carry nothing the broker would act on twice; tests of peers and of the limits

Found by reading the hand-back path: a copy repeated the original's user_id, which a broker answers by closing the channel (406), and its CC and BCC headers, which would route it to other queues once more (Consumer::hand_back). copy_of now leaves these out; the stand-in broker counts a foreign user_id as a violation, and a test pins the rest. Also: the list's socket binds by the kind of its peer's address, and failed answers are logged with their reason.

House style, given up in the open: a thread that reads a socket blocks without a timer, so each connection has two threads.

--- a/src/amqp/consumer.rs
+++ b/src/amqp/consumer.rs
@@ -385,14 +385,12 @@
         // the original goes only once the broker has the copy.
         let Some(held) = self.ledger.get_mut(&tag) else { return };
         held.settling = true;
-        let mut headers = held.properties.headers().clone().unwrap_or_default();
         let times = match header_of(&held.properties, HANDED_BACK) {
             Some(AMQPValue::LongLongInt(times)) => *times,
             _ => 0,
         };
-        headers.insert(short(HANDED_BACK), AMQPValue::LongLongInt(times + 1));
-        headers.insert(short(COPY), AMQPValue::LongLongInt(self.published as i64 + 1));
-        let properties = held.properties.clone().with_headers(headers);
+        let marks = [(HANDED_BACK, times + 1), (COPY, self.published as i64 + 1)];
+        let properties = copy_of(&held.properties, marks);
         let body = std::mem::take(&mut held.body);
         self.publish(self.set.queue.clone(), true, properties, &body, Then::HandedBack(tag), out);
     }
@@ -479,6 +477,32 @@
     }
 }
 
+/// The properties of a copy for the same queue, with these marks. What a broker would act on once more does not go
+/// along: a user's name that is not ours closes the channel, and `CC` and `BCC` would route the message to others.
+fn copy_of(of: &AMQPProperties, marks: [(&str, i64); 2]) -> AMQPProperties {
+    let mut headers = FieldTable::default();
+    for (name, value) in of.headers().iter().flat_map(FieldTable::inner) {
+        if !["CC", "BCC"].contains(&name.as_str()) {
+            headers.insert(name.clone(), value.clone());
+        }
+    }
+    for (name, value) in marks {
+        headers.insert(short(name), AMQPValue::LongLongInt(value));
+    }
+    let mut copy = AMQPProperties::default().with_headers(headers);
+    macro_rules! keep {
+        ($($get:ident $set:ident),*) => {
+            $(if let Some(value) = of.$get() {
+                copy = copy.$set(value.clone());
+            })*
+        };
+    }
+    keep!(content_type with_content_type, content_encoding with_content_encoding, delivery_mode with_delivery_mode);
+    keep!(priority with_priority, correlation_id with_correlation_id, reply_to with_reply_to, kind with_type);
+    keep!(expiration with_expiration, message_id with_message_id, timestamp with_timestamp, app_id with_app_id);
+    copy
+}
+
 fn header_of<'a>(properties: &'a AMQPProperties, name: &str) -> Option<&'a AMQPValue> {
     properties.headers().as_ref().and_then(|headers| headers.inner().get(name))
 }
--- a/src/net/jsonrpc/message.rs
+++ b/src/net/jsonrpc/message.rs
@@ -32,7 +32,7 @@
 #[derive(Deserialize)]
 pub struct Params {
     rid: String,
-    t0: i64,
+    t0: f64,
     peer: u64,
     acct: Option<String>,
     again: Option<u8>,
@@ -48,7 +48,7 @@
             rid: Rid::parse(&self.rid).unwrap_or(Rid::from_number(0)),
             class,
             tenant: self.acct.filter(|name| !name.is_empty()).map(|name| site.tenant(&name)),
-            at: Time(self.t0.saturating_mul(1000)),
+            at: Time((self.t0 * 1e3) as i64),
             caller: CallerId(self.peer),
             resent: self.again == Some(1),
             held_kb: self.mem,
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -1,6 +1,6 @@
 //! The actor of the list: it reports the node to the membership service.
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 use std::sync::Arc;
 
 use crossbeam_channel::{after, select, Receiver};
@@ -23,7 +23,12 @@
     inbox: &Receiver<Report>,
     log: &Logger,
 ) {
-    let socket = match UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).or_else(|_| UdpSocket::bind("0.0.0.0:0")) {
+    let from: IpAddr = match to.ip() {
+        IpAddr::V4(ip) if ip.is_loopback() => Ipv4Addr::LOCALHOST.into(),
+        IpAddr::V4(_) => Ipv4Addr::UNSPECIFIED.into(),
+        IpAddr::V6(_) => Ipv6Addr::UNSPECIFIED.into(),
+    };
+    let socket = match UdpSocket::bind((from, 0)) {
         Ok(socket) => socket,
         Err(e) => return warn!(log, "no socket for the list"; "error" => %e),
     };
--- a/src/node/book.rs
+++ b/src/node/book.rs
@@ -20,6 +20,18 @@
     Calling(Body),
 }
 
+impl Stage {
+    /// A word for the log.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Stage::Held => "held",
+            Stage::Running => "running",
+            Stage::AtCall(_) => "at a call",
+            Stage::Calling(_) => "calling",
+        }
+    }
+}
+
 pub(super) struct Entry {
     pub rid: Rid,
     pub class: ClassId,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -123,7 +123,7 @@
 impl Board {
     /// Whether health checks hear that all is well.
     pub fn ready(&self) -> bool {
-        self.ready.load(Relaxed)
+        self.ready.load(Relaxed) && !self.draining.load(Relaxed)
     }
     /// The free value, once the module has set one.
     pub fn hint(&self) -> Option<f64> {
@@ -137,15 +137,11 @@
     pub fn owed(&self) -> usize {
         self.owed.load(Relaxed)
     }
-    /// Whether the notice to leave has come.
-    pub fn draining(&self) -> bool {
-        self.draining.load(Relaxed)
-    }
     /// Whether the executor has come up, and requests can be taken.
     pub fn serving(&self) -> bool {
         self.serving.load(Relaxed)
     }
-    /// Marks the notice to leave, so that fronts act on it before the module's next batch.
+    /// Marks the notice to leave: health is bad from now on, also before the module's next batch.
     pub fn leave(&self) {
         self.draining.store(true, Relaxed);
     }
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -331,7 +331,12 @@
     /// Gives the answer if it is still owed.
     fn answer(&mut self, id: RequestId, outcome: Outcome) {
         let hint = self.board.hint();
-        if let Some(reply) = self.book.get(id).and_then(|entry| entry.reply.take()) {
+        let Some(entry) = self.book.get(id) else { return };
+        if let Some(reply) = entry.reply.take() {
+            if let Outcome::Failed(why) = &outcome {
+                let stage = entry.stage.word();
+                info!(self.log, "failed"; "rid" => %entry.rid, "class" => entry.class.0, "why" => why.word(), "at" => stage);
+            }
             self.board.owed.fetch_sub(1, Relaxed);
             reply.give(Answer { outcome, hint });
         }
--- a/tests/amqp.rs
+++ b/tests/amqp.rs
@@ -2,7 +2,7 @@
 
 mod stand_ins;
 
-use amq_protocol::types::AMQPValue;
+use amq_protocol::types::{AMQPValue, FieldTable};
 use stand_ins::broker::{Broker, Message, POSTS, READS};
 use stand_ins::*;
 
@@ -247,6 +247,27 @@
     stop(&broker, &mut next);
 }
 
+/// Guards a copy from what the broker would act on twice: another user's name closes the channel, and `CC` would
+/// send the message to other queues once more.
+#[test]
+fn a_copy_keeps_what_is_the_messages_and_leaves_what_was_the_brokers() {
+    let (broker, mut node) = start(8);
+    until("it consumes", || broker.with(|seen| seen.consumers) == 2);
+    let mut message = Message::new("serve:a");
+    let mut headers = FieldTable::default();
+    headers.insert("CC".into(), AMQPValue::LongString("elsewhere".into()));
+    headers.insert("trace".into(), AMQPValue::LongLongInt(7));
+    message.properties =
+        message.properties.with_headers(headers).with_user_id("partner".into()).with_priority(3);
+    broker.with(|seen| seen.push_on_cancel.push((POSTS.into(), message.clone())));
+    stop(&broker, &mut node);
+    let copy = broker.with(|seen| seen.ready[POSTS][0].clone());
+    assert_eq!((copy.header("CC"), copy.header("trace")), (None, Some(&AMQPValue::LongLongInt(7))));
+    assert_eq!((copy.properties.user_id(), copy.properties.priority()), (&None, &Some(3)));
+    assert_eq!(copy.properties.message_id(), message.properties.message_id());
+    assert_eq!((copy.body, copy.properties.reply_to()), (message.body, message.properties.reply_to()));
+}
+
 /// A copy that can't be routed comes back before its confirm; then the original must not be lost.
 #[test]
 fn a_copy_that_comes_back_requeues_the_original() {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -158,6 +158,19 @@
     assert_eq!(node.executor.joins(), [0, 1]);
 }
 
+/// Guards both sides of a lost command: a read is sent again on the next link, a post never, since nobody can know
+/// that the command was lost.
+#[test]
+fn a_command_lost_with_its_link_is_sent_again_for_reads_only() {
+    let node = Node::start();
+    node.executor.lose_next();
+    assert_eq!(body(&node.front().ask(READ, "serve:read")), "done serve:read");
+    node.executor.lose_next();
+    let answer = node.front().ask(POST, "serve:post");
+    assert!(code(&answer) != 0 && code(&answer) != REFUSED, "{answer}");
+    assert_eq!((node.executor.runs("serve:read"), node.executor.runs("serve:post")), (1, 0));
+}
+
 /// The requests of a connection that closes go on: the module and the executor still count them.
 #[test]
 fn a_closing_connection_does_not_end_its_requests() {
@@ -245,3 +258,32 @@
         assert!(said.contains(says) && said.lines().count() == 1, "{said}");
     }
 }
+
+/// Guards the limits of a node under a full table of connections: 192 MB and 1,024 descriptors. Each connection is
+/// one descriptor and two threads with small stacks.
+#[test]
+fn four_hundred_connections_fit_the_limits() {
+    let node = Node::start();
+    let mut open: Vec<std::net::TcpStream> = Vec::new();
+    for n in 0..400 {
+        let mut stream = std::net::TcpStream::connect(node.address).expect("room");
+        let line = format!("{{\"jsonrpc\":\"2.0\",\"id\":{},\"method\":\"alive\"}}\n", n + 1);
+        std::io::Write::write_all(&mut stream, line.as_bytes()).expect("written");
+        open.push(stream);
+    }
+    for mut stream in &open {
+        let mut answer = [0; 128];
+        let n = std::io::Read::read(&mut stream, &mut answer).expect("an answer");
+        assert!(String::from_utf8_lossy(&answer[..n]).contains("\"ready\":true"));
+    }
+    let process = format!("/proc/{}", node.process.id());
+    let status = std::fs::read_to_string(format!("{process}/status")).expect("a status");
+    let kb: u64 = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB")?.trim().parse().ok())
+        .expect("a size");
+    let descriptors = std::fs::read_dir(format!("{process}/fd")).expect("a list").count();
+    assert!(kb < 96 * 1024, "{kb} kB of 192 MB");
+    assert!((400..500).contains(&descriptors), "{descriptors} descriptors");
+    println!("400 connections: {kb} kB, {descriptors} descriptors");
+}
--- a/tests/stand_ins/broker.rs
+++ b/tests/stand_ins/broker.rs
@@ -369,6 +369,9 @@
         let message = Message { body, properties, redelivered: false };
         let key = publish.routing_key.to_string();
         let mut seen = lock(&self.seen);
+        if properties_user(&message).is_some_and(|user| user != "guest") {
+            seen.violations.push("a publish under another user's name".into());
+        }
         let (came_back, confirm) = (publish.mandatory && seen.unroutable, !seen.hold_confirms);
         if !came_back && [READS, POSTS].contains(&key.as_str()) {
             seen.ready.entry(key).or_default().push_back(message.clone());
@@ -388,6 +391,10 @@
     }
 }
 
+fn properties_user(message: &Message) -> Option<&str> {
+    message.properties.user_id().as_ref().map(ShortString::as_str)
+}
+
 fn back(requeue: bool) -> impl FnOnce(&mut Seen, &str, Message) {
     move |seen, queue, mut message| {
         if requeue {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -88,6 +88,8 @@
     /// All notices so far; the first has the number 1.
     notices: Vec<String>,
     link: Option<TcpStream>,
+    /// The next command to run is lost with its link.
+    lose: bool,
 }
 
 impl Runs {
@@ -110,9 +112,15 @@
             );
         }
     }
+    fn break_link(&mut self) {
+        if let Some(link) = self.link.take() {
+            let _ = link.shutdown(Shutdown::Both);
+        }
+    }
     fn command(&mut self, command: &Value) {
         let uid = command["uid"].as_str().unwrap_or("").to_string();
         match command["action"].as_str() {
+            Some("EXEC") if std::mem::take(&mut self.lose) => self.break_link(),
             Some("EXEC") if !self.running.contains_key(&uid) => {
                 let body = unbase64(command["content"].as_str().expect("a body"));
                 *self.runs.entry(body.clone()).or_default() += 1;
@@ -191,11 +199,13 @@
         let uid = state.running.iter().find(|(_, (b, _))| b == body).map(|(uid, _)| uid.clone());
         state.exit(&uid.expect("it runs"), "OK", Some("late result"));
     }
-    /// Breaks the link; with `quietly`, what is told until the next one is only kept.
+    /// Breaks the link; what is told until the next one is kept for it.
     pub fn break_link(&self) {
-        if let Some(link) = lock(&self.state).link.take() {
-            let _ = link.shutdown(Shutdown::Both);
-        }
+        lock(&self.state).break_link();
+    }
+    /// The next command to run is lost, and the link with it.
+    pub fn lose_next(&self) {
+        lock(&self.state).lose = true;
     }
 }
 
@@ -204,13 +214,18 @@
 pub struct Database {
     pub address: SocketAddr,
     calls: Arc<Mutex<HashMap<String, usize>>>,
+    /// Connections so far, and those open.
+    connections: Arc<Mutex<(usize, usize)>>,
 }
 
 impl Database {
     pub fn start() -> Database {
         let calls = Arc::new(Mutex::new(HashMap::new()));
-        let shared = calls.clone();
+        let connections = Arc::new(Mutex::new((0, 0)));
+        let (shared, count) = (calls.clone(), connections.clone());
         let address = serve(move |stream| {
+            lock(&count).0 += 1;
+            lock(&count).1 += 1;
             let mut from = BufReader::new(stream.try_clone().expect("a connection"));
             while let Some(body) = read_call(&mut from) {
                 *lock(&shared).entry(body.clone()).or_default() += 1;
@@ -224,12 +239,19 @@
                     "busy" => reply("503 Busy", "Never-Started: 1\r\n", ""),
                     "gone" => reply("409 Conflict", "Never-Started: 1\r\n", ""),
                     "wrong" => reply("500 Wrong", "", ""),
-                    "break" => return,
+                    "break" => break,
                     _ => {}
                 }
             }
+            lock(&count).1 -= 1;
         });
-        Database { address, calls }
+        Database { address, calls, connections }
+    }
+    pub fn connections(&self) -> usize {
+        lock(&self.connections).0
+    }
+    pub fn open(&self) -> usize {
+        lock(&self.connections).1
     }
     /// How often a call with this body came.
     pub fn calls(&self, body: &str) -> usize {
--- a/tests/states.rs
+++ b/tests/states.rs
@@ -108,6 +108,7 @@
     publishes: Vec<u64>,
     published: u64,
     delivered: u64,
+    answered: u64,
     active: bool,
 }
 
@@ -225,6 +226,7 @@
                             _ => Outcome::Failed(Failure::MayHaveRun),
                         };
                         let tag = model.in_hand.swap_remove(which % model.in_hand.len());
+                        model.answered += 1;
                         let answer = Answer { outcome, hint: None };
                         consumer.answer(tag, &answer, &mut out);
                         // A second answer to the same delivery changes nothing.
@@ -243,6 +245,8 @@
                     _ => {}
                 }
                 let rules = model.take(&mut out) && consumer.unsettled() == model.owed.len();
+                // One answer, or one copy, is published for a delivery at most.
+                let rules = rules && model.published <= model.answered;
                 rules && (consumer.state() != State::Closed || model.owed.is_empty())
             })
     }
