Limits gathered in their one type; tests made independent of the machine's speed

Stack of the module, read sizes and the prefetch bound stood as constants in main, net, amqp and inventory. Tests of leaving now have deadlines far beyond what they wait for.

--- a/src/amqp/connection.rs
+++ b/src/amqp/connection.rs
@@ -173,11 +173,11 @@
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(limits.write))?;
         let (tell, frames) = bounded(limits.amqp_frames);
-        let (from, most) = (stream.clone(), limits.amqp_frame);
+        let (from, most, at_once) = (stream.clone(), limits.amqp_frame, limits.read);
         let log = self.log.clone();
         // The codec follows nested tables down; a frame's length bounds how deep they go.
         spawn("amqp-read", limits.amqp_stack, move || {
-            let mut from = io::BufReader::with_capacity(8192, &*from);
+            let mut from = io::BufReader::with_capacity(at_once, &*from);
             loop {
                 match codec::read(&mut from, most) {
                     Ok(frame) => {
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -10,6 +10,7 @@
 
 use saphyr::{LoadableYamlNode, MarkedYamlOwned, ScalarOwned, YamlDataOwned};
 
+use crate::node::Limits;
 use crate::wire::Site;
 use crate::{ClassId, Effect};
 
@@ -119,6 +120,7 @@
 pub fn read(
     path: &Path,
     site: &Site,
+    limits: &Limits,
     env: impl Fn(&str) -> Option<String>,
 ) -> Result<Vec<Queue>, InventoryError> {
     let file = path.display().to_string();
@@ -138,7 +140,7 @@
     let mut seen = HashSet::new();
     let mut queues = Vec::new();
     for record in records {
-        let queue = record.queue(site, &env).map_err(place)?;
+        let queue = record.queue(site, limits, &env).map_err(place)?;
         if !seen.insert((queue.host.clone(), queue.port, queue.vhost.clone(), queue.queue.clone())) {
             let line = record.vars.get("queue").map_or(record.line, |v| v.line);
             return Err(place((line, "queue".into(), Problem::Duplicate)));
@@ -179,7 +181,12 @@
         }
     }
 
-    fn queue(&self, site: &Site, env: &impl Fn(&str) -> Option<String>) -> Result<Queue, Fault> {
+    fn queue(
+        &self,
+        site: &Site,
+        limits: &Limits,
+        env: &impl Fn(&str) -> Option<String>,
+    ) -> Result<Queue, Fault> {
         // A host's own name is its address unless the file says otherwise, as with configuration tools.
         let named = self.text("host")?.or(self.text("ansible_host")?).or(Some(self.name.clone()));
         let host = self.must("host", named.filter(|n| !n.is_empty()))?;
@@ -196,9 +203,8 @@
             return self.fault("password_env", Problem::Bad(format!("{variable} is not set")));
         };
         let prefetch = self.must("prefetch", self.number("prefetch")?)?;
-        // It bounds what a broker can have us hold, so it can't be as good as none.
-        if prefetch > MOST_PREFETCH {
-            return self.fault("prefetch", Problem::Bad(format!("more than {MOST_PREFETCH}")));
+        if prefetch > limits.prefetch {
+            return self.fault("prefetch", Problem::Bad(format!("more than {}", limits.prefetch)));
         }
         let held = self.number("held_kb")?;
         Ok(Queue {
@@ -220,9 +226,6 @@
 /// Kilobytes booked for a held message where the inventory says nothing: the middle of what the site has seen.
 const DEFAULT_HELD_KB: f64 = 40.0;
 
-/// The largest prefetch: a node holds far fewer requests before it refuses some.
-const MOST_PREFETCH: u16 = 1024;
-
 fn csv_records(text: &str) -> Result<Vec<Record>, Fault> {
     let mut reader =
         csv::ReaderBuilder::new().trim(csv::Trim::All).comment(Some(b'#')).from_reader(text.as_bytes());
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,8 +18,6 @@
 use slog::{info, o, Drain, Logger};
 
 const USAGE: &str = "usage: mothwinch [--inventory FILE]\n\nPROXY_CONFIG names the configuration; FILE (.yaml, .yml or .csv) the broker queues to consume from.";
-/// Stack of the module's thread, which runs the decisions.
-const MODULE_STACK: usize = 1024 * 1024;
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -70,13 +68,13 @@
 
 fn serve(inventory: Option<&Path>) -> Result<ExitCode, StartError> {
     let config = Config::from_env().map_err(StartError::Config)?;
+    let mut limits = Limits::new(config.sockets);
     let env = |name: &str| std::env::var(name).ok();
-    let queues = inventory.map_or(Ok(Vec::new()), |file| inventory::read(file, &config.site, env));
+    let queues = inventory.map_or(Ok(Vec::new()), |file| inventory::read(file, &config.site, &limits, env));
     let queues = queues.map_err(StartError::Inventory)?;
+    limits.connections = limits.connections.saturating_sub(queues.len());
     let system = |what| move |e| StartError::System(what, e);
     let log = logger(&config.name);
-    let mut limits = Limits::new(config.sockets);
-    limits.connections = limits.connections.saturating_sub(queues.len());
     let signals = signals(&limits).map_err(system("signals"))?;
     let listener = TcpListener::bind(config.listen).map_err(system("listen"))?;
 
@@ -93,7 +91,7 @@
     let actor = Module::new(told, limits.clone(), peers, board.clone(), log.new(o!("actor" => "module")));
     // Dropped when the module's thread ends, however it ends: without it the node is of no use.
     let (alive, ended) = bounded::<()>(0);
-    spawn("module", MODULE_STACK, move || {
+    spawn("module", limits.module_stack, move || {
         let _alive = alive;
         actor.run(&inbox);
     })
--- a/src/net/database.rs
+++ b/src/net/database.rs
@@ -113,8 +113,8 @@
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(self.limits.write))?;
         let (tell, replies) = bounded(1);
-        let (from, most) = (stream.clone(), self.limits.database_reply);
-        spawn("database-read", self.limits.stack, move || read_replies(&from, most, &tell))?;
+        let (from, most, at_once) = (stream.clone(), self.limits.database_reply, self.limits.read);
+        spawn("database-read", self.limits.stack, move || read_replies(&from, (most, at_once), &tell))?;
         Ok(Connection { stream, replies })
     }
 }
@@ -138,9 +138,9 @@
     }
 }
 
-fn read_replies(mut from: &TcpStream, most: usize, tell: &Sender<io::Result<HttpReply>>) {
+fn read_replies(mut from: &TcpStream, (most, at_once): (usize, usize), tell: &Sender<io::Result<HttpReply>>) {
     let mut held = Vec::new();
-    let mut chunk = [0; 2048];
+    let mut chunk = vec![0; at_once];
     loop {
         match parse(&held, most) {
             Ok(Some((reply, used))) => {
--- a/src/net/executor.rs
+++ b/src/net/executor.rs
@@ -88,8 +88,8 @@
     write(&stream, &Command::Join { pos: position.get() })?;
     let (tell, told) = bounded(4);
     let reader = Reader { module: module.clone(), position: position.clone(), tell, log: log.clone() };
-    let (from, most) = (stream.clone(), limits.executor_line);
-    spawn("executor-read", limits.stack, move || reader.run(&from, most))?;
+    let (from, most, at_once) = (stream.clone(), limits.executor_line, limits.read);
+    spawn("executor-read", limits.stack, move || reader.run(&from, most, at_once))?;
     let mut welcomed = false;
     loop {
         // Nothing is sent before the welcome: until then the executor may not be up.
@@ -146,8 +146,8 @@
 }
 
 impl Reader {
-    fn run(self, from: &TcpStream, most: usize) {
-        let mut lines = Lines::new(from, most);
+    fn run(self, from: &TcpStream, most: usize, at_once: usize) {
+        let mut lines = Lines::new(from, most, at_once);
         loop {
             match lines.next_line() {
                 Ok(Some(line)) => match serde_json::from_slice(line) {
--- a/src/net/jsonrpc/mod.rs
+++ b/src/net/jsonrpc/mod.rs
@@ -160,7 +160,7 @@
 impl Connection {
     fn read(self: &Arc<Connection>, mailbox: &Sender<Out>) {
         let front = &self.front;
-        let mut lines = Lines::new(&self.stream, front.limits.front_line);
+        let mut lines = Lines::new(&self.stream, front.limits.front_line, front.limits.read);
         loop {
             let line = match lines.next_line() {
                 Ok(Some(line)) => line,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,9 +22,9 @@
 }
 
 impl<R: Read> Lines<R> {
-    /// Lines of at most `most` bytes.
-    pub fn new(from: R, most: usize) -> Lines<R> {
-        Lines { from: BufReader::with_capacity(4096, from), most, line: Vec::new() }
+    /// Lines of at most `most` bytes, read so many at once.
+    pub fn new(from: R, most: usize, at_once: usize) -> Lines<R> {
+        Lines { from: BufReader::with_capacity(at_once, from), most, line: Vec::new() }
     }
 
     /// The next line without its end, or nothing at the end of the stream. A last line that was cut off is not a
--- a/src/node/book.rs
+++ b/src/node/book.rs
@@ -121,3 +121,44 @@
         self.entries.values_mut()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(n: u64, key: Option<u128>, repeats: bool) -> Entry {
+        let (rid, body) = (Rid::from_number(n), Body::from_bytes(b""));
+        let (stage, class) = (Stage::Held, ClassId(0));
+        Entry { rid, class, body, reply: None, stage, repeats, unsure: false, key }
+    }
+
+    /// Guards the single effect: a key stays once its request was sent to run, and goes if it never was, so that a
+    /// request refused here may come again.
+    #[test]
+    fn a_key_stays_only_where_it_ran() {
+        let mut book = Book::new(2);
+        let key = book.keys.hash(ClassId(0), "a");
+        assert_ne!(key, book.keys.hash(ClassId(1), "a"));
+        let first = book.enter(entry(1, Some(key), false));
+        book.remove(first);
+        assert_eq!(book.keys.find(key), None);
+        let second = book.enter(entry(2, Some(key), false));
+        // One that repeats it neither takes the key over nor takes it away.
+        let third = book.enter(entry(3, Some(key), true));
+        book.remove(third);
+        assert_eq!(book.keys.find(key), Some(second));
+        book.get(second).expect("in the book").stage = Stage::Running;
+        book.remove(second);
+        assert_eq!((book.keys.find(key), book.find(Rid::from_number(2))), (Some(second), None));
+    }
+
+    /// Guards our memory: the table of keys is bounded, and says so before the bound is passed.
+    #[test]
+    fn the_table_of_keys_is_bounded() {
+        let mut book = Book::new(1);
+        assert!(!book.keys.full());
+        let key = book.keys.hash(ClassId(0), "a");
+        book.enter(entry(1, Some(key), false));
+        assert!(book.keys.full());
+    }
+}
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -57,6 +57,12 @@
     pub amqp_reconnect_most: Duration,
     /// Stack of a thread that decodes frames.
     pub amqp_stack: usize,
+    /// The largest prefetch that an inventory may ask for: it bounds what a broker can have us hold.
+    pub prefetch: u16,
+    /// Bytes read from a socket at once.
+    pub read: usize,
+    /// Stack of the module's thread, which runs the decisions.
+    pub module_stack: usize,
     /// Stack of a thread: nothing here recurses.
     pub stack: usize,
 }
@@ -93,6 +99,9 @@
             amqp_heartbeat: Duration::from_secs(10),
             amqp_reconnect_most: Duration::from_secs(5),
             amqp_stack: 8 * 1024 * 1024,
+            prefetch: 1024,
+            read: 4096,
+            module_stack: 1024 * 1024,
             stack: 160 * 1024,
         }
     }
--- a/tests/amqp.rs
+++ b/tests/amqp.rs
@@ -19,7 +19,7 @@
 }
 
 fn node_at(broker: &Broker, prefetch: u16) -> Node {
-    Node::start_with(Some(&broker.inventory(prefetch)), 8000)
+    Node::start_with(Some(&broker.inventory(prefetch)), |_| {})
 }
 
 /// Leaves, and checks that nothing is left unsettled and no rule of the protocol was broken.
@@ -315,7 +315,7 @@
         .expect("a file")
         .replace("username: guest", "username: eve");
     let inventory = Scratch::new("other.yaml", &text);
-    let mut node = Node::start_with(Some(&inventory), 8000);
+    let mut node = Node::start_with(Some(&inventory), |_| {});
     until("it is tried again", || broker.with(|seen| seen.connections) >= 2);
     assert_eq!(node.front().ask("statement-read", "serve")["error"], serde_json::Value::Null);
     assert!(node.log().contains("403 ACCESS_REFUSED"));
--- a/tests/inventory.rs
+++ b/tests/inventory.rs
@@ -6,6 +6,7 @@
 use std::process::Command;
 
 use mothwinch::inventory::{read, InventoryError, Queue};
+use mothwinch::node::Limits;
 use mothwinch::wire::Site;
 use stand_ins::{command, config, settings, Scratch};
 
@@ -15,7 +16,7 @@
 
 fn load(name: &str, text: &str) -> Result<Vec<Queue>, InventoryError> {
     let site = Site::from_json(&settings()).expect("settings");
-    read(&Scratch::new(name, text).0, &site, env)
+    read(&Scratch::new(name, text).0, &site, &Limits::new(1024), env)
 }
 
 const YAML: &str = "\
@@ -133,7 +134,7 @@
     }
     let site = Site::from_json(&settings).expect("settings");
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/inventory.yaml");
-    assert_eq!(read(&file, &site, |_| Some("pw".into())).expect("an inventory").len(), 4);
+    assert_eq!(read(&file, &site, &Limits::new(1024), |_| Some("pw".into())).expect("an inventory").len(), 4);
 }
 
 /// A bad inventory is one line on standard error and no start; so are arguments that are none.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -201,7 +201,11 @@
 
 #[test]
 fn leaving_answers_all_runs_nothing_late_and_exits_well() {
-    let mut node = Node::start();
+    let mut node = Node::start_with(None, |config| {
+        // What hangs keeps the node until all has been asked.
+        config["settings"]["lanes"][1]["deadline"] = json!(6000);
+        config["stop_ms"] = json!(15000);
+    });
     let mut front = node.front();
     front.send(POST, "hang");
     until("it runs", || node.executor.runs("hang") == 1);
@@ -227,7 +231,7 @@
 /// What is read is answered before the kill, also where its due time lies after it.
 #[test]
 fn leaving_answers_before_the_kill() {
-    let mut node = Node::start_with(None, 900);
+    let mut node = Node::start_with(None, |config| config["stop_ms"] = json!(900));
     let mut front = node.front();
     front.send(POST, "hang");
     until("it runs", || node.executor.runs("hang") == 1);
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -111,10 +111,10 @@
 
 #[test]
 fn lines_are_whole_and_bounded() {
-    let mut lines = Lines::new(&b"one\ntwo\r\n\n12345678\ncut off"[..], 8);
+    let mut lines = Lines::new(&b"one\ntwo\r\n\n12345678\ncut off"[..], 8, 5);
     for want in [&b"one"[..], b"two", b"", b"12345678"] {
         assert_eq!(lines.next_line().expect("a line"), Some(want));
     }
     assert_eq!(lines.next_line().expect("the end"), None);
-    assert!(Lines::new(&b"123456789\n"[..], 8).next_line().is_err());
+    assert!(Lines::new(&b"123456789\n"[..], 8, 5).next_line().is_err());
 }
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -357,14 +357,14 @@
 impl Node {
     /// A node that is up and serving.
     pub fn start() -> Node {
-        Node::start_with(None, 8000)
+        Node::start_with(None, |_| {})
     }
 
-    /// The same with an inventory, and so long from the notice to leave to the kill.
-    pub fn start_with(inventory: Option<&Scratch>, stop_ms: u64) -> Node {
+    /// The same with an inventory, and a configuration that differs.
+    pub fn start_with(inventory: Option<&Scratch>, change: impl FnOnce(&mut Value)) -> Node {
         let (executor, database, list) = (Executor::start(), Database::start(), List::start());
         let mut config = config(executor.address, database.address, list.address);
-        config["stop_ms"] = json!(stop_ms);
+        change(&mut config);
         let file = Scratch::new("config.json", &config.to_string());
         let mut command = command(&file);
         if let Some(inventory) = inventory {
