--- a/tests/amqp.rs
+++ b/tests/amqp.rs
@@ -297,6 +297,24 @@
     stop(&broker, &mut node);
 }
 
+/// The share of the ledger is one for both fronts: queues and front ends together never have more calls in hand.
+#[test]
+fn both_fronts_keep_one_share_of_the_ledger() {
+    let (broker, mut node) = start(8);
+    let mut front = node.front();
+    for n in 0..6 {
+        front.send("settlement-post", &format!("call:silent#front {n}"));
+        broker.publish(POSTS, Message::new(&format!("call:silent#queue {n}")));
+    }
+    for _ in 0..6 {
+        assert!(front.next()["error"].is_object());
+    }
+    until("the queue's are answered", || replies(&broker) == 6);
+    let most = node.database.most_silent();
+    assert!((2..=5).contains(&most), "{most} calls in hand of a share of 5");
+    stop(&broker, &mut node);
+}
+
 #[test]
 fn heartbeats_are_sent_and_a_silent_broker_is_left() {
     let broker = Broker::start();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -34,6 +34,17 @@
     assert!(code(&answer) != 0 && code(&answer) != REFUSED, "{answer}");
 }
 
+/// What the executor says it will not run is answered at once, and notices that nobody knows are passed over.
+#[test]
+fn a_command_not_carried_out_is_failed_at_once() {
+    let node = Node::start();
+    let mut front = node.front();
+    let answer = front.ask(READ, "bad");
+    assert!(code(&answer) != 0 && code(&answer) != REFUSED, "{answer}");
+    assert_eq!(body(&front.ask(READ, "serve")), "done serve");
+    assert_eq!(node.executor.joins(), [0], "the link has held");
+}
+
 #[test]
 fn a_call_goes_to_the_database_and_its_reply_back_unchanged() {
     let node = Node::start();
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -1,5 +1,5 @@
 //! Stand-ins for all that a node talks to, on loopback, and the node itself as a process. What a run does is told
-//! by the request's body: `serve`, `fail`, `hang`, or `call:BODY` to make a call with that body first.
+//! by the request's body: `serve`, `fail`, `bad`, `hang`, or `call:BODY` to make a call with that body first.
 #![allow(dead_code)]
 
 pub mod broker;
@@ -129,6 +129,13 @@
                 match verb {
                     "serve" => self.exit(&uid, "OK", Some(&format!("done {body}"))),
                     "fail" => self.exit(&uid, "ERROR", None),
+                    "bad" => {
+                        self.running.remove(&uid);
+                        // What a node does not know must not end its link.
+                        self.write("{\"action\":\"NEWS\",\"pos\":0}\nnot JSON\n");
+                        let bad = json!({"action": "BAD", "code": "EXEC", "uid": uid});
+                        self.write(&format!("{bad}\n"));
+                    }
                     "call" => {
                         self.running.insert(uid.clone(), (body.clone(), true));
                         self.tell(json!({"action": "CALLOUT", "uid": uid, "content": base64(rest)}));
@@ -216,13 +223,16 @@
     calls: Arc<Mutex<HashMap<String, usize>>>,
     /// Connections so far, and those open.
     connections: Arc<Mutex<(usize, usize)>>,
+    /// Silent calls in hand, and the most there were.
+    silent: Arc<Mutex<(usize, usize)>>,
 }
 
 impl Database {
     pub fn start() -> Database {
         let calls = Arc::new(Mutex::new(HashMap::new()));
         let connections = Arc::new(Mutex::new((0, 0)));
-        let (shared, count) = (calls.clone(), connections.clone());
+        let silent = Arc::new(Mutex::new((0, 0)));
+        let (shared, count, hand) = (calls.clone(), connections.clone(), silent.clone());
         let address = serve(move |stream| {
             lock(&count).0 += 1;
             lock(&count).1 += 1;
@@ -240,12 +250,26 @@
                     "gone" => reply("409 Conflict", "Never-Started: 1\r\n", ""),
                     "wrong" => reply("500 Wrong", "", ""),
                     "break" => break,
-                    _ => {}
+                    _ => {
+                        // Until the node gives it up, which closes the connection.
+                        {
+                            let mut hand = lock(&hand);
+                            hand.0 += 1;
+                            hand.1 = hand.1.max(hand.0);
+                        }
+                        assert!(read_call(&mut from).is_none(), "one call at a time on a connection");
+                        lock(&hand).0 -= 1;
+                        break;
+                    }
                 }
             }
             lock(&count).1 -= 1;
         });
-        Database { address, calls, connections }
+        Database { address, calls, connections, silent }
+    }
+    /// The most silent calls in hand at once.
+    pub fn most_silent(&self) -> usize {
+        lock(&self.silent).1
     }
     pub fn connections(&self) -> usize {
         lock(&self.connections).0
