--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -12,10 +12,10 @@
 use mothwinch::amqp::Amqp;
 use mothwinch::inventory::{self, InventoryError};
 use mothwinch::net::jsonrpc::Front;
-use mothwinch::net::{database, executor, membership, spawn};
+use mothwinch::net::{database, executor, membership, spawn, Address};
 use mothwinch::node::config::{Config, ConfigError};
 use mothwinch::node::{Board, Limits, Module, Msg, Peers};
-use slog::{info, o, Drain, Logger};
+use slog::{info, o, warn, Drain, Logger};
 
 const USAGE: &str = "usage: mothwinch [--inventory FILE]\n\nPROXY_CONFIG names the configuration; FILE (.yaml, .yml or .csv) the broker queues to consume from.";
 
@@ -83,6 +83,7 @@
     let (to_executor, executor_inbox) = bounded(limits.executor_mailbox);
     let (to_database, database_inbox) = bounded(limits.database_lanes * 4);
     let (to_list, list_inbox) = bounded(1);
+    let (to_moves, moves) = bounded(1);
 
     let grace = Duration::from_micros(config.site.settings.drain_grace.0.unsigned_abs());
     let site = Arc::new(config.site);
@@ -97,16 +98,17 @@
     })
     .map_err(system("threads"))?;
 
-    let (at, own, own_log, tell) =
-        (config.executor, limits.clone(), log.new(o!("actor" => "executor")), module.clone());
-    spawn("executor", limits.stack, move || executor::run(at, &own, &executor_inbox, &tell, &own_log))
+    let (at, own, own_log) = (config.executor, limits.clone(), log.new(o!("actor" => "executor")));
+    let mailboxes = executor::Mailboxes { commands: executor_inbox, moves, module: module.clone() };
+    spawn("executor", limits.stack, move || executor::run(at, &own, &mailboxes, &own_log))
         .map_err(system("threads"))?;
     let database_log = log.new(o!("actor" => "database"));
-    database::start(config.database, &limits, &database_inbox, &module, &database_log)
+    let database = Arc::new(Address::new(config.database));
+    database::start(&database, &limits, &database_inbox, &module, &database_log)
         .map_err(system("threads"))?;
     let (at, own, own_log, own_board) =
         (config.members, limits.clone(), log.new(o!("actor" => "list")), board.clone());
-    let name = config.name;
+    let name = config.name.clone();
     spawn("list", limits.stack, move || membership::run(at, &name, &own, &own_board, &list_inbox, &own_log))
         .map_err(system("threads"))?;
     let front_log = log.new(o!("actor" => "front"));
@@ -117,9 +119,18 @@
         Front::start(listener, site, &limits, &board, &module, &front_log).map_err(system("threads"))?;
     info!(log, "listening"; "at" => %front.address());
 
-    select! {
-        recv(signals) -> _ => {}
-        recv(ended) -> _ => return Ok(ExitCode::FAILURE),
+    let mut peers = Moves {
+        executor: (config.executor, to_moves),
+        database,
+        list: (config.members, to_list.clone()),
+        log: log.clone(),
+    };
+    loop {
+        select! {
+            recv(signals.leave) -> _ => break,
+            recv(signals.reload) -> _ => peers.reload(&config.name, config.listen),
+            recv(ended) -> _ => return Ok(ExitCode::FAILURE),
+        }
     }
     let told = Instant::now();
     board.leave();
@@ -144,20 +155,60 @@
         }
         select! {
             recv(after(limits.drain_tick)) -> _ => {}
+            recv(signals.reload) -> _ => peers.reload(&config.name, config.listen),
             recv(ended) -> _ => return Ok(ExitCode::FAILURE),
         }
     }
 }
 
-/// A channel that tells of SIGTERM and SIGINT.
-fn signals(limits: &Limits) -> io::Result<Receiver<i32>> {
-    use signal_hook::consts::{SIGINT, SIGTERM};
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT])?;
-    let (tell, told): (Sender<i32>, _) = bounded(1);
+/// Where the peers are, and who must hear when they move.
+struct Moves {
+    executor: (SocketAddr, Sender<SocketAddr>),
+    database: Arc<Address>,
+    list: (SocketAddr, Sender<membership::Report>),
+    log: Logger,
+}
+
+impl Moves {
+    /// Reads the configuration again and hands new addresses on. One that can't be used changes nothing.
+    fn reload(&mut self, name: &str, listen: SocketAddr) {
+        let config = match Config::from_env() {
+            Ok(config) => config,
+            Err(e) => return warn!(self.log, "the new configuration is not used"; "error" => %e),
+        };
+        if config.name != name || config.listen != listen {
+            warn!(self.log, "name and listening address change with a restart only");
+        }
+        info!(self.log, "configuration read again"; "executor" => %config.executor, "database" => %config.database,
+            "members" => %config.members);
+        // The actors take these at any time, so the sends end; one that is gone has ended the node already.
+        if std::mem::replace(&mut self.executor.0, config.executor) != config.executor {
+            let _ = self.executor.1.send(config.executor);
+        }
+        self.database.set(config.database);
+        if std::mem::replace(&mut self.list.0, config.members) != config.members {
+            let _ = self.list.1.send(membership::Report::To(config.members));
+        }
+    }
+}
+
+/// What the platform says by signals. Each is a state, not a count: one that waits stands for any that follow.
+struct Signals {
+    /// SIGTERM and SIGINT.
+    leave: Receiver<()>,
+    /// SIGHUP.
+    reload: Receiver<()>,
+}
+
+fn signals(limits: &Limits) -> io::Result<Signals> {
+    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let ((tell_leave, leave), (tell_reload, reload)) = (bounded(1), bounded(1));
     spawn("signals", limits.stack, move || {
         for signal in signals.forever() {
-            let _ = tell.try_send(signal);
+            let tell = if signal == SIGHUP { &tell_reload } else { &tell_leave };
+            let _ = tell.try_send(());
         }
     })?;
-    Ok(told)
+    Ok(Signals { leave, reload })
 }
--- a/src/net/executor.rs
+++ b/src/net/executor.rs
@@ -37,27 +37,46 @@
 /// What the reader of a link tells the actor.
 enum FromReader {
     Welcome,
+    /// All that was written before the actor asked for this has been read.
+    Quiet,
     Ended,
 }
 
+/// The word under which the actor itself asks for the gauges before it leaves a link: the module's are numbers.
+const QUIET: &str = "quiet";
+
+/// What an executor's actor is given at its start.
+pub struct Mailboxes {
+    /// Commands.
+    pub commands: Receiver<ToExecutor>,
+    /// Where the executor is from now on.
+    pub moves: Receiver<SocketAddr>,
+    /// Where notices go.
+    pub module: Sender<Msg>,
+}
+
 /// Keeps the link up until the mailbox is gone.
-pub fn run(
-    to: SocketAddr,
-    limits: &Limits,
-    inbox: &Receiver<ToExecutor>,
-    module: &Sender<Msg>,
-    log: &Logger,
-) {
+pub fn run(mut to: SocketAddr, limits: &Limits, mailboxes: &Mailboxes, log: &Logger) {
     let mut backoff = Backoff::new(limits.reconnect, limits.reconnect_most);
     let position = Arc::new(Position::default());
     loop {
-        match link(to, limits, inbox, module, &position, log) {
+        match link(to, limits, mailboxes, &position, log) {
             Ok(Gone::Module) => return,
+            Ok(Gone::Moved { moved, clean }) => {
+                info!(log, "executor moved"; "to" => %moved, "clean" => clean);
+                to = moved;
+                backoff.reset();
+                // Where all that was written is known to have been read, nothing is in doubt.
+                if !clean && mailboxes.module.send(Msg::ExecutorDown).is_err() {
+                    return;
+                }
+                continue;
+            }
             Ok(Gone::Executor { welcomed }) => {
                 info!(log, "executor link ended");
                 if welcomed {
                     backoff.reset();
-                    if module.send(Msg::ExecutorDown).is_err() {
+                    if mailboxes.module.send(Msg::ExecutorDown).is_err() {
                         return;
                     }
                 }
@@ -65,23 +84,30 @@
             Err(e) => debug!(log, "executor link"; "error" => %e),
         }
         // Commands wait in the mailbox meanwhile: they have not been sent, so they may be sent later.
-        select! { recv(after(backoff.pause())) -> _ => {} }
+        select! {
+            recv(mailboxes.moves) -> moved => match moved {
+                Ok(moved) => to = moved,
+                Err(_) => return,
+            },
+            recv(after(backoff.pause())) -> _ => {}
+        }
     }
 }
 
 enum Gone {
     Module,
     Executor { welcomed: bool },
+    Moved { moved: SocketAddr, clean: bool },
 }
 
 fn link(
     to: SocketAddr,
     limits: &Limits,
-    inbox: &Receiver<ToExecutor>,
-    module: &Sender<Msg>,
+    mailboxes: &Mailboxes,
     position: &Arc<Position>,
     log: &Logger,
 ) -> io::Result<Gone> {
+    let Mailboxes { commands: inbox, moves, module } = mailboxes;
     let stream = Arc::new(TcpStream::connect_timeout(&to, limits.connect)?);
     stream.set_nodelay(true)?;
     stream.set_write_timeout(Some(limits.write))?;
@@ -90,6 +116,11 @@
     let reader = Reader { module: module.clone(), position: position.clone(), tell, log: log.clone() };
     let (from, most, at_once) = (stream.clone(), limits.executor_line, limits.read);
     spawn("executor-read", limits.stack, move || reader.run(&from, most, at_once))?;
+    // What the reader has read comes before the news of what became of the link.
+    let end = || {
+        let _ = stream.shutdown(Shutdown::Both);
+        while told.recv().is_ok_and(|msg| !matches!(msg, FromReader::Ended)) {}
+    };
     let mut welcomed = false;
     loop {
         // Nothing is sent before the welcome: until then the executor may not be up.
@@ -97,21 +128,23 @@
         select! {
             recv(told) -> msg => match msg {
                 Ok(FromReader::Welcome) => welcomed = true,
+                Ok(FromReader::Quiet) => {}
                 Ok(FromReader::Ended) | Err(_) => return Ok(Gone::Executor { welcomed }),
             },
+            recv(moves) -> moved => {
+                let Ok(moved) = moved else { return Ok(Gone::Module) };
+                // The old place takes nothing new. Commands wait until it says that it has read the last one.
+                let clean = !welcomed || quiet(&stream, &told, limits);
+                end();
+                return Ok(Gone::Moved { moved, clean });
+            }
             recv(commands) -> msg => {
                 let Ok(command) = msg else { return Ok(Gone::Module) };
                 if let Err(e) = send(&stream, &command) {
                     // It may have arrived in part or in whole, like those before it: the module is told of the
-                    // break and decides what may be sent again. The reader is waited for, so that what it has
-                    // read comes before the news of the break.
+                    // break and decides what may be sent again.
                     warn!(log, "executor write"; "error" => %e);
-                    let _ = stream.shutdown(Shutdown::Both);
-                    while let Ok(msg) = told.recv() {
-                        if matches!(msg, FromReader::Ended) {
-                            break;
-                        }
-                    }
+                    end();
                     return Ok(Gone::Executor { welcomed });
                 }
             }
@@ -119,6 +152,24 @@
     }
 }
 
+/// Whether the executor says in time that it has read all that was written.
+fn quiet(stream: &TcpStream, told: &Receiver<FromReader>, limits: &Limits) -> bool {
+    if write(stream, &Command::Meter { echo: QUIET }).is_err() {
+        return false;
+    }
+    let late = after(limits.executor_quiet);
+    loop {
+        select! {
+            recv(told) -> msg => match msg {
+                Ok(FromReader::Quiet) => return true,
+                Ok(FromReader::Welcome) => {}
+                Ok(FromReader::Ended) | Err(_) => return false,
+            },
+            recv(late) -> _ => return false,
+        }
+    }
+}
+
 fn send(stream: &TcpStream, command: &ToExecutor) -> io::Result<()> {
     match command {
         ToExecutor::Exec(rid, lane, body) => {
@@ -199,6 +250,7 @@
                 let Some(rid) = Rid::parse(&uid) else { return Some(()) };
                 Msg::Callout(rid, Body::from_base64(content))
             }
+            Notice::Meters { echo, .. } if echo == QUIET => return self.tell.send(FromReader::Quiet).ok(),
             Notice::Meters { echo, meters } => match echo.parse() {
                 Ok(tag) => Msg::Meters(tag, meters),
                 Err(_) => return Some(()),
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -1,5 +1,6 @@
 //! The actor of the list: it reports the node to the membership service.
 
+use std::io;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 use std::sync::Arc;
 
@@ -12,23 +13,20 @@
 pub enum Report {
     /// Leave the list.
     Out,
+    /// The service is here now.
+    To(SocketAddr),
 }
 
 /// Reports until its mailbox is gone: `UP` from the executor's start on, `OUT` from the notice to leave on.
 pub fn run(
-    to: SocketAddr,
+    mut to: SocketAddr,
     name: &str,
     limits: &Limits,
     board: &Arc<Board>,
     inbox: &Receiver<Report>,
     log: &Logger,
 ) {
-    let from: IpAddr = match to.ip() {
-        IpAddr::V4(ip) if ip.is_loopback() => Ipv4Addr::LOCALHOST.into(),
-        IpAddr::V4(_) => Ipv4Addr::UNSPECIFIED.into(),
-        IpAddr::V6(_) => Ipv6Addr::UNSPECIFIED.into(),
-    };
-    let socket = match UdpSocket::bind((from, 0)) {
+    let mut socket = match bind(to) {
         Ok(socket) => socket,
         Err(e) => return warn!(log, "no socket for the list"; "error" => %e),
     };
@@ -45,9 +43,25 @@
         select! {
             recv(inbox) -> msg => match msg {
                 Ok(Report::Out) => state = "OUT",
+                Ok(Report::To(moved)) => {
+                    to = moved;
+                    match bind(to) {
+                        Ok(fresh) => socket = fresh,
+                        Err(e) => warn!(log, "no new socket for the list"; "error" => %e),
+                    }
+                }
                 Err(_) => return,
             },
             recv(after(pause)) -> _ => {}
         }
     }
 }
+
+fn bind(to: SocketAddr) -> io::Result<UdpSocket> {
+    let from: IpAddr = match to.ip() {
+        IpAddr::V4(ip) if ip.is_loopback() => Ipv4Addr::LOCALHOST.into(),
+        IpAddr::V4(_) => Ipv4Addr::UNSPECIFIED.into(),
+        IpAddr::V6(_) => Ipv6Addr::UNSPECIFIED.into(),
+    };
+    UdpSocket::bind((from, 0))
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,8 @@
 pub mod membership;
 
 use std::io::{self, BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::sync::{PoisonError, RwLock};
 use std::thread;
 use std::time::Duration;
 
@@ -14,6 +16,24 @@
     thread::Builder::new().name(name.into()).stack_size(stack).spawn(body).map(drop)
 }
 
+/// Where a peer is now: a reload may move it. What is open stays where it is, new connections go to the new place.
+pub struct Address(RwLock<SocketAddr>);
+
+impl Address {
+    /// A peer at this place.
+    pub fn new(at: SocketAddr) -> Address {
+        Address(RwLock::new(at))
+    }
+    /// The place.
+    pub fn get(&self) -> SocketAddr {
+        *self.0.read().unwrap_or_else(PoisonError::into_inner)
+    }
+    /// Moves it.
+    pub fn set(&self, to: SocketAddr) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = to;
+    }
+}
+
 /// Lines of bounded length from a stream.
 pub struct Lines<R> {
     from: BufReader<R>,
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -19,10 +19,14 @@
     pub module_mailbox: usize,
     /// Commands that wait for the executor's link; past this a command counts as never sent.
     pub executor_mailbox: usize,
+    /// Time for an executor that moves to say that it has read all that was written to its old place.
+    pub executor_quiet: Duration,
     /// Database connections, and calls in hand at once.
     pub database_lanes: usize,
-    /// The database closes idle connections after 10 s; ours go sooner, so that none closes under a call.
-    pub database_idle: Duration,
+    /// Bytes of the head of a database reply, with any 1xx answers before it.
+    pub database_head: usize,
+    /// From the first byte of a database reply to its last: one that takes longer is spoilt.
+    pub database_rest: Duration,
     /// Time to connect to a peer on the machine's own network.
     pub connect: Duration,
     /// Pause before the first reconnect, doubled up to `reconnect_most`.
@@ -80,13 +84,15 @@
             database_reply: 256 * 1024,
             module_mailbox: 4096,
             executor_mailbox: 16 * 1024,
+            executor_quiet: Duration::from_millis(250),
             database_lanes,
-            database_idle: Duration::from_secs(6),
+            database_head: 8 * 1024,
+            database_rest: Duration::from_millis(400),
             connect: Duration::from_millis(1000),
             reconnect: Duration::from_millis(20),
             reconnect_most: Duration::from_millis(500),
             write: Duration::from_secs(10),
-            report: Duration::from_millis(500),
+            report: Duration::from_millis(300),
             meter: Duration::from_millis(12),
             farewell: Duration::from_secs(2),
             stop_margin: Duration::from_millis(120),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -210,6 +210,30 @@
     assert!(answers.iter().all(|a| a["error"].is_object()));
 }
 
+/// Guards a node in service: SIGHUP used to end it. The new addresses are taken, what runs carries on over the new
+/// link with no notice lost or taken twice, and a file that can't be used changes nothing.
+#[test]
+fn a_new_configuration_moves_the_peers_and_ends_nothing() {
+    let node = Node::start();
+    let mut front = node.front();
+    assert_eq!(body(&front.ask(READ, "serve")), "done serve");
+    front.send(POST, "hang");
+    until("it runs", || node.executor.runs("hang") == 1);
+    let (database, list) = (Database::start(), List::start());
+    let moved = config(node.executor.elsewhere(), database.address, list.address);
+    node.reload(&moved.to_string());
+    until("the executor is joined at its new place", || node.executor.joins() == [0, 1]);
+    until("the list hears of it at its new place", || list.heard("HB n3 UP"));
+    node.executor.finish("hang");
+    assert_eq!(body(&front.next()), "late result");
+    assert_eq!(body(&front.ask(POST, "call:ok#moved")), "rows for ok#moved");
+    assert_eq!((database.calls("ok#moved"), node.database.calls("ok#moved")), (1, 0));
+    node.reload("{ not a configuration");
+    until("it says so", || node.log().contains("the new configuration is not used"));
+    assert_eq!(body(&front.ask(POST, "call:ok#kept")), "rows for ok#kept");
+    assert_eq!((database.calls("ok#kept"), node.executor.joins().len()), (1, 2));
+}
+
 #[test]
 fn leaving_answers_all_runs_nothing_late_and_exits_well() {
     let mut node = Node::start_with(None, |config| {
