--- a/src/net/executor.rs
+++ b/src/net/executor.rs
@@ -256,7 +256,7 @@
                 Err(_) => return Some(()),
             },
             Notice::Bad { code, uid } => {
-                warn!(self.log, "executor: not carried out"; "command" => &code, "uid" => uid.as_deref().unwrap_or(""));
+                debug!(self.log, "executor: not carried out"; "command" => &code, "uid" => uid.as_deref().unwrap_or(""));
                 match uid.as_deref().and_then(Rid::parse).filter(|_| code == "EXEC") {
                     Some(rid) => Msg::NotCarriedOut(rid),
                     None => return Some(()),
--- a/src/net/jsonrpc/message.rs
+++ b/src/net/jsonrpc/message.rs
@@ -1,5 +1,7 @@
 //! JSON-RPC 2.0 messages: what a line says, and how answers are written.
 
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
@@ -37,9 +39,14 @@
     acct: Option<String>,
     again: Option<u8>,
     mem: f64,
+    prio: f64,
+    obj: Option<String>,
     body: String,
 }
 
+/// Bytes of a body at most.
+const BODY: usize = 2048;
+
 impl Params {
     /// The request for the core, or nothing where a field is out of its range.
     pub fn arrival(self, class: ClassId, site: &Site, reply: Reply) -> Arrival {
@@ -59,14 +66,22 @@
             reply,
         }
     }
-    fn check(&self) -> Result<(), &'static str> {
-        if Rid::parse(&self.rid).is_none() {
-            return Err("rid is not 16 hex digits");
-        }
-        if !(self.mem > 0.0 && self.mem < 2000.0) {
-            return Err("mem is out of range");
-        }
-        Ok(())
+    /// Whether every field is what the protocol allows at this site.
+    fn check(&self, site: &Site) -> Result<(), &'static str> {
+        let body = STANDARD.decode(&self.body).map(|bytes| bytes.len());
+        let faults = [
+            (Rid::parse(&self.rid).is_none(), "rid is not 16 hex digits"),
+            (!(self.mem > 0.0 && self.mem < 2000.0), "mem is out of range"),
+            (!(self.prio >= 0.0 && self.prio < 1.0), "prio is out of range"),
+            // Unix milliseconds that a number holds exactly.
+            (!(self.t0 > 0.0 && self.t0 < 9e15), "t0 is out of range"),
+            (self.again.is_some_and(|again| again != 1), "again is not 1"),
+            (self.obj.as_deref().is_some_and(|obj| Rid::parse(obj).is_none()), "obj is not 16 hex digits"),
+            (self.acct.as_deref().is_some_and(|name| !site.may_name(name)), "no such tenant"),
+            (body.is_err(), "body is not base64"),
+            (body.is_ok_and(|length| length > BODY), "body is too long"),
+        ];
+        faults.iter().find(|(fault, _)| *fault).map_or(Ok(()), |(_, what)| Err(what))
     }
 }
 
@@ -100,7 +115,7 @@
     };
     let params = value.get("params").unwrap_or(&Value::Null);
     match Params::deserialize(params) {
-        Ok(params) => match params.check() {
+        Ok(params) => match params.check(site) {
             Ok(()) => Incoming::Request(number, class, params),
             Err(what) => malformed(id, INVALID_PARAMS, what),
         },
@@ -173,9 +188,10 @@
     write(id, Some(Served { body: None, ready: Some(ready), hint }), None)
 }
 
-/// The answer to a request that breaks the protocol's bounds on a connection.
-pub fn breach(id: u64, what: &'static str) -> String {
-    write(id, None, Some(Fault { code: INVALID_REQUEST, message: what, data: Data::default() }))
+/// The last line to a peer that breaks the protocol's bounds on a connection. It answers no request.
+pub fn breach(what: &str) -> String {
+    let error = json!({"code": INVALID_REQUEST, "message": what});
+    json!({"jsonrpc": "2.0", "id": null, "error": error}).to_string() + "\n"
 }
 
 /// The notification after which a connection gets no new request.
--- a/src/net/jsonrpc/mod.rs
+++ b/src/net/jsonrpc/mod.rs
@@ -1,5 +1,9 @@
 //! The platform's front: JSON-RPC 2.0, one message a line. Each connection has an actor that writes, with a
 //! mailbox, and a reader; both share one socket. What is read goes to the module's mailbox.
+//!
+//! Slots are for those that use them. A connection on which nothing sensible comes is closed soon, one that breaks the
+//! protocol at once, and when slots run short the one goes that has been silent or unused the longest. None goes
+//! while a request of a peer that keeps the protocol is open on it.
 
 mod message;
 mod session;
@@ -8,14 +12,14 @@
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{after, bounded, never, select, Receiver, Sender};
-use slog::{debug, warn, Logger};
+use slog::{debug, info, warn, Logger};
 
 use super::{spawn, Lines};
-use crate::node::{Answer, Board, Limits, Msg, Reply};
+use crate::node::{Answer, Board, Limits, Msg, Reply, Seldom};
 use crate::wire::Site;
 use message::Incoming;
 pub use session::{Breach, Session};
@@ -26,6 +30,8 @@
     Answer(u64, Answer),
     /// A line that answers no request of the core's.
     Line(String),
+    /// The last line on this connection: the peer has broken the protocol, and hears no more.
+    Close(String),
     /// Say farewell.
     Farewell,
     /// The reader has ended.
@@ -43,7 +49,14 @@
     closed: AtomicBool,
     /// Requests read whose answer is not written.
     open: AtomicUsize,
-    connections: Mutex<HashMap<u64, Sender<Out>>>,
+    connections: Mutex<HashMap<u64, Slot>>,
+    turned_away: Seldom,
+}
+
+/// A connection as the front knows it.
+struct Slot {
+    mailbox: Sender<Out>,
+    connection: Weak<Connection>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -70,6 +83,7 @@
             closed: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             connections: Mutex::default(),
+            turned_away: Seldom::new(limits.log_seldom),
         });
         let accepting = front.clone();
         spawn("accept", limits.stack, move || accepting.accept(&listener))?;
@@ -90,8 +104,8 @@
     }
     /// Says farewell on each connection.
     pub fn farewell(&self) {
-        for mailbox in lock(&self.connections).values() {
-            let _ = mailbox.try_send(Out::Farewell);
+        for slot in lock(&self.connections).values() {
+            let _ = slot.mailbox.try_send(Out::Farewell);
         }
     }
     /// Stops listening.
@@ -116,13 +130,29 @@
                 return;
             }
             if let Err(e) = self.connect(number, stream) {
-                warn!(self.log, "connection"; "error" => %e);
+                self.turned_away.log(|more| warn!(self.log, "connection"; "error" => %e, "more" => more));
             }
         }
     }
 
+    /// Closes the connection that is least missed, if there is one that carries nothing.
+    fn shed(&self) {
+        let connections: Vec<Arc<Connection>> =
+            lock(&self.connections).values().filter_map(|slot| slot.connection.upgrade()).collect();
+        let place = |c: &&Arc<Connection>| lock(&c.session).dispensable();
+        let first = connections.iter().filter(|c| place(c).is_some()).min_by_key(place);
+        if let Some(first) = first.filter(|c| lock(&c.session).close_unused()) {
+            let _ = first.stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn connect(self: &Arc<Front>, number: u64, stream: TcpStream) -> io::Result<()> {
-        if self.connections() >= self.limits.connections {
+        let open = self.connections();
+        // Room is made ahead of the bound, as a connection takes a moment to go.
+        if open + self.limits.connections_spare >= self.limits.connections {
+            self.shed();
+        }
+        if open >= self.limits.connections {
             return Err(io::Error::other("too many connections"));
         }
         stream.set_nodelay(true)?;
@@ -131,7 +161,8 @@
         let (mailbox, inbox) = bounded(2 * self.limits.open_per_connection + 4);
         let session = Mutex::new(Session::new(self.limits.open_per_connection, Instant::now()));
         let connection = Arc::new(Connection { front: self.clone(), stream, session });
-        lock(&self.connections).insert(number, mailbox.clone());
+        let slot = Slot { mailbox: mailbox.clone(), connection: Arc::downgrade(&connection) };
+        lock(&self.connections).insert(number, slot);
         let writer = connection.clone();
         let started = spawn("front-write", self.limits.stack, move || {
             writer.write(&inbox);
@@ -175,9 +206,8 @@
                 }
                 Incoming::Notification => true,
                 Incoming::Malformed(mut answer) => {
-                    debug!(front.log, "malformed request");
                     answer.push('\n');
-                    mailbox.send(Out::Line(answer)).is_ok()
+                    return self.breach(mailbox, answer);
                 }
                 Incoming::Request(id, class, params) => {
                     let entered = lock(&self.session).request(id, Instant::now());
@@ -188,12 +218,13 @@
                             let arrival = params.arrival(class, &front.site, reply);
                             front.module.send(Msg::Arrived(Box::new(arrival))).is_ok()
                         }
-                        Err(breach) => {
-                            let what = match breach {
-                                Breach::TooMany => "too many requests open on this connection",
-                                Breach::IdInUse => "a request with this id is open",
-                            };
-                            mailbox.send(Out::Line(message::breach(id, what))).is_ok()
+                        Err(Breach::Closed) => return,
+                        // An answer under this number would pass for that of the other request.
+                        Err(Breach::IdInUse) => {
+                            return self.breach(mailbox, message::breach("a request with this id is open"))
+                        }
+                        Err(Breach::TooMany) => {
+                            return self.breach(mailbox, message::breach("too many requests are open"))
                         }
                     }
                 }
@@ -204,6 +235,17 @@
         }
     }
 
+    /// The peer has broken the protocol. What it says next can't be trusted either, and what it asked for before gets
+    /// no answer: no front end that is owed one sends this.
+    fn breach(&self, mailbox: &Sender<Out>, answer: String) {
+        self.front.turned_away.log(|more| {
+            let peer = self.stream.peer_addr().map(|a| a.to_string()).unwrap_or_default();
+            info!(self.front.log, "protocol broken"; "peer" => peer, "answer" => answer.trim_end(), "more" => more);
+        });
+        lock(&self.session).close();
+        let _ = mailbox.send(Out::Close(answer));
+    }
+
     /// The right to answer a request on this connection. The module never waits here: a mailbox without room
     /// means a peer that takes nothing, and the connection is closed.
     fn reply(self: &Arc<Connection>, id: u64, mailbox: Sender<Out>) -> Reply {
@@ -241,6 +283,11 @@
                         front.open.fetch_sub(1, SeqCst);
                     }
                     Ok(Out::Line(line)) => put(&line),
+                    Ok(Out::Close(line)) => {
+                        put(&line);
+                        // What else is owed here fails to be written, and the reader ends.
+                        let _ = self.stream.shutdown(Shutdown::Both);
+                    }
                     Ok(Out::Farewell) => {
                         if lock(&self.session).farewell() {
                             put(message::FAREWELL);
@@ -250,14 +297,19 @@
                     Err(_) => return,
                 },
                 recv(timer) -> _ => {
-                    let (due, said) = (self.idle_left().is_some_and(|left| left.is_zero()), lock(&self.session).leaving());
-                    if due && said {
-                        return;
+                    let mut session = lock(&self.session);
+                    if session.idle_left(self.idle_most(&session), Instant::now()) != Some(Duration::ZERO) {
+                        continue;
                     }
-                    if due && lock(&self.session).farewell() {
-                        put(message::FAREWELL);
-                        lock(&self.session).touch(Instant::now());
+                    if session.silent() || session.leaving() {
+                        // Nothing is open, and nothing is taken any more: what crosses this has not run.
+                        session.close_unused();
+                        return;
                     }
+                    session.farewell();
+                    session.touch(Instant::now());
+                    drop(session);
+                    put(message::FAREWELL);
                 }
             }
             if lock(&self.session).over() {
@@ -266,11 +318,19 @@
         }
     }
 
-    /// Until a farewell the module says how long it may carry nothing; after it, the front end has a moment to
-    /// close it.
-    fn idle_left(&self) -> Option<std::time::Duration> {
+    fn idle_left(&self) -> Option<Duration> {
         let session = lock(&self.session);
-        let idle = if session.leaving() { Some(self.front.limits.farewell) } else { self.front.board.idle() };
-        idle.and_then(|idle| session.idle_left(idle, Instant::now()))
+        session.idle_left(self.idle_most(&session), Instant::now())
+    }
+
+    /// How long it may carry nothing: little before its first message; then as the module says; after a farewell the
+    /// front end has a moment to close it.
+    fn idle_most(&self, session: &Session) -> Duration {
+        let limits = &self.front.limits;
+        match () {
+            () if session.silent() => limits.front_silent,
+            () if session.leaving() => limits.farewell,
+            () => self.front.board.idle().unwrap_or(limits.front_idle),
+        }
     }
 }
--- a/src/net/jsonrpc/session.rs
+++ b/src/net/jsonrpc/session.rs
@@ -10,13 +10,18 @@
     TooMany,
     /// One with this id is open.
     IdInUse,
+    /// The connection is closing: the request crossed that, and nothing is done for it.
+    Closed,
 }
 
 /// What is open on a connection and whether it has been told to go.
 pub struct Session {
     open: HashSet<u64>,
     most: usize,
+    /// A whole message that makes sense has come.
+    spoke: bool,
     farewell: bool,
+    closed: bool,
     ended: bool,
     used: Instant,
 }
@@ -24,11 +29,22 @@
 impl Session {
     /// A fresh connection on which `most` requests may be open.
     pub fn new(most: usize, now: Instant) -> Session {
-        Session { open: HashSet::new(), most, farewell: false, ended: false, used: now }
+        Session {
+            open: HashSet::new(),
+            most,
+            spoke: false,
+            farewell: false,
+            closed: false,
+            ended: false,
+            used: now,
+        }
     }
     /// A request came.
     pub fn request(&mut self, id: u64, now: Instant) -> Result<(), Breach> {
-        self.used = now;
+        if self.closed {
+            return Err(Breach::Closed);
+        }
+        self.touch(now);
         if self.open.contains(&id) {
             return Err(Breach::IdInUse);
         }
@@ -38,8 +54,9 @@
         self.open.insert(id);
         Ok(())
     }
-    /// Something else came, such as a health check.
+    /// Something else came that makes sense, such as a health check.
     pub fn touch(&mut self, now: Instant) {
+        self.spoke = true;
         self.used = now;
     }
     /// An answer goes out; false if none is owed for this id.
@@ -51,6 +68,15 @@
     pub fn farewell(&mut self) -> bool {
         !std::mem::replace(&mut self.farewell, true)
     }
+    /// Closes it if nothing is open on it: from then on no request is taken, so none is lost with it.
+    pub fn close_unused(&mut self) -> bool {
+        self.closed |= self.open.is_empty();
+        self.closed
+    }
+    /// Closes it whatever is open: the peer has broken the protocol.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
     /// The peer sends no more.
     pub fn end(&mut self) {
         self.ended = true;
@@ -63,6 +89,15 @@
     pub fn idle_left(&self, idle: Duration, now: Instant) -> Option<Duration> {
         self.open.is_empty().then(|| (self.used + idle).saturating_duration_since(now))
     }
+    /// Its place among those that may be closed to make room, the first to go first: the silent, then by how long
+    /// nothing came or went. None while a request is open on it, or once it closes.
+    pub fn dispensable(&self) -> Option<(bool, Instant)> {
+        (self.open.is_empty() && !self.closed).then_some((self.spoke, self.used))
+    }
+    /// Whether nothing that makes sense has come on it.
+    pub fn silent(&self) -> bool {
+        !self.spoke
+    }
     /// Whether the peer was told to go.
     pub fn leaving(&self) -> bool {
         self.farewell
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -9,6 +9,14 @@
     pub open_per_connection: usize,
     /// Front connections. Each is one descriptor and two threads.
     pub connections: usize,
+    /// Front connections that are kept free, by closing those that carry nothing.
+    pub connections_spare: usize,
+    /// How long a front connection may stay on which nothing sensible has come.
+    pub front_silent: Duration,
+    /// How long one may carry nothing, until the module has said.
+    pub front_idle: Duration,
+    /// Between two log lines of a kind that any peer can cause.
+    pub log_seldom: Duration,
     /// Bytes of one line from a front end: a body of 2 KiB in base64 and its fields, with room.
     pub front_line: usize,
     /// Bytes of one line from the executor: 4 KiB in base64 and its fields, with room.
@@ -79,6 +87,10 @@
             open_per_connection: 32,
             // Lanes, the executor, the list, the listener, standard streams and a few spare ones come off.
             connections: sockets.saturating_sub(database_lanes + 40).clamp(8, 640),
+            connections_spare: 24,
+            front_silent: Duration::from_millis(2000),
+            front_idle: Duration::from_secs(60),
+            log_seldom: Duration::from_secs(1),
             front_line: 16 * 1024,
             executor_line: 32 * 1024,
             database_reply: 256 * 1024,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,7 +8,8 @@
 mod request;
 
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering::Relaxed};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam_channel::Sender;
 
@@ -147,6 +148,31 @@
     }
 }
 
+/// For log lines that any peer can cause as often as it likes: one in so long, which tells how many were left out.
+pub struct Seldom {
+    pause: Duration,
+    /// When one was written, and those left out since.
+    last: Mutex<(Option<Instant>, u64)>,
+}
+
+impl Seldom {
+    /// At most one in `pause`.
+    pub fn new(pause: Duration) -> Seldom {
+        Seldom { pause, last: Mutex::new((None, 0)) }
+    }
+    /// Has the line written, if it is time, with the number of those left out before it.
+    pub fn log(&self, write: impl FnOnce(u64)) {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        if last.0.is_some_and(|at| at.elapsed() < self.pause) {
+            last.1 += 1;
+            return;
+        }
+        let (_, more) = std::mem::replace(&mut *last, (Some(Instant::now()), 0));
+        drop(last);
+        write(more);
+    }
+}
+
 /// The module's two peers, as mailboxes.
 pub struct Peers {
     /// The executor's actor.
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -13,7 +13,7 @@
 
 use super::book::{Book, Entry, Stage};
 use super::request::{Answer, Arrival, Failure, Outcome, Rid};
-use super::{unix_now, Board, Call, CallResult, Limits, Msg, Peers, RunExit, ToExecutor};
+use super::{unix_now, Board, Call, CallResult, Limits, Msg, Peers, RunExit, Seldom, ToExecutor};
 use crate::interface::*;
 use crate::logic::Policy;
 use crate::wire::Site;
@@ -46,6 +46,8 @@
     linked: bool,
     /// Told to leave.
     leaving: bool,
+    twice: Seldom,
+    not_carried_out: Seldom,
     last: Instant,
 }
 
@@ -59,6 +61,8 @@
         log: Logger,
     ) -> Module {
         let book = Book::new(limits.once_keys);
+        let seldom = || Seldom::new(limits.log_seldom);
+        let (twice, not_carried_out) = (seldom(), seldom());
         Module {
             site,
             seed,
@@ -77,6 +81,8 @@
             tags: 0,
             linked: false,
             leaving: false,
+            twice,
+            not_carried_out,
             last: Instant::now(),
         }
     }
@@ -191,7 +197,9 @@
                 }
             }
             Msg::NotCarriedOut(rid) => {
-                warn!(self.log, "the executor would not run a request"; "rid" => %rid);
+                self.not_carried_out.log(|more| {
+                    warn!(self.log, "the executor would not run a request"; "rid" => %rid, "more" => more);
+                });
                 self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal));
             }
             Msg::CallDone(id, result, took) => self.call_done(id, result, took),
@@ -221,8 +229,15 @@
             let stay_away = self.site.settings.max_retry_after;
             return reply.give(Answer { outcome: Outcome::Refused { stay_away, give_up: false }, hint });
         }
+        // Nobody waits for it any more, and an age that no line here explains must not count as one: the module would
+        // take the node for jammed.
+        let patience = self.site.settings.classes.get(class.0).map_or(Span(0), |c| c.deadline);
+        if at + patience + self.site.settings.answer_slack < unix_now() {
+            return reply
+                .give(Answer { outcome: Outcome::Refused { stay_away: Span(0), give_up: true }, hint });
+        }
         if self.book.find(rid).is_some() {
-            warn!(self.log, "a request id came twice"; "rid" => %rid);
+            self.twice.log(|more| warn!(self.log, "a request id came twice"; "rid" => %rid, "more" => more));
             return reply.give(Answer { outcome: Outcome::Failed(Failure::Internal), hint });
         }
         let (stage, reply) = (Stage::Held, Some(reply));
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -233,6 +233,11 @@
         self.tenants.contains_key(name)
     }
 
+    /// Whether a request may name this tenant: any where the settings tell of none.
+    pub fn may_name(&self, name: &str) -> bool {
+        self.tenants.is_empty() || self.knows_tenant(name)
+    }
+
     /// Readings in the order of the settings, by their names.
     pub fn gauges(&self, values: &[f64]) -> Gauges {
         let read = |name: &str| {
