--- a/src/net/jsonrpc/mod.rs
+++ b/src/net/jsonrpc/mod.rs
@@ -141,8 +141,8 @@
             lock(&self.connections).values().filter_map(|slot| slot.connection.upgrade()).collect();
         let place = |c: &&Arc<Connection>| lock(&c.session).dispensable();
         let first = connections.iter().filter(|c| place(c).is_some()).min_by_key(place);
-        if let Some(first) = first.filter(|c| lock(&c.session).close_unused()) {
-            let _ = first.stream.shutdown(Shutdown::Both);
+        if let Some(first) = first {
+            first.part();
         }
     }
 
@@ -182,6 +182,13 @@
     }
 }
 
+/// Writes an answer. Its place is free before the front end can know that, which may fill it at once: freed after the
+/// writing, it would make the newcomer one too many.
+fn hand_over(session: &Mutex<Session>, id: u64, answer: &Answer, put: impl FnOnce(&str)) {
+    lock(session).answered(id, Instant::now());
+    put(&message::answer(id, answer));
+}
+
 struct Connection {
     front: Arc<Front>,
     stream: TcpStream,
@@ -278,8 +285,7 @@
             select! {
                 recv(inbox) -> msg => match msg {
                     Ok(Out::Answer(id, answer)) => {
-                        put(&message::answer(id, &answer));
-                        lock(&self.session).answered(id, Instant::now());
+                        hand_over(&self.session, id, &answer, &mut put);
                         front.open.fetch_sub(1, SeqCst);
                     }
                     Ok(Out::Line(line)) => put(&line),
@@ -302,9 +308,9 @@
                         continue;
                     }
                     if session.silent() || session.leaving() {
-                        // Nothing is open, and nothing is taken any more: what crosses this has not run.
-                        session.close_unused();
-                        return;
+                        drop(session);
+                        self.part();
+                        continue;
                     }
                     session.farewell();
                     session.touch(Instant::now());
@@ -318,6 +324,13 @@
         }
     }
 
+    /// Reads no more than has come already, which may be a request that this node was too slow to read: that is still
+    /// answered. Then the reader ends, and with the last answer the connection.
+    fn part(&self) {
+        lock(&self.session).part();
+        let _ = self.stream.shutdown(Shutdown::Read);
+    }
+
     fn idle_left(&self) -> Option<Duration> {
         let session = lock(&self.session);
         session.idle_left(self.idle_most(&session), Instant::now())
@@ -334,3 +347,47 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::node::{Failure, Outcome};
+    use serde_json::json;
+    use slog::{o, Discard};
+
+    #[test]
+    fn a_place_is_free_before_its_answer_is_out() {
+        let now = Instant::now();
+        let session = Mutex::new(Session::new(1, now));
+        assert_eq!(lock(&session).request(1, now), Ok(()));
+        let answer = Answer { outcome: Outcome::Failed(Failure::Run), hint: None };
+        let mut next = None;
+        hand_over(&session, 1, &answer, |_| next = Some(lock(&session).request(2, now)));
+        assert_eq!(next, Some(Ok(())));
+    }
+
+    /// Guards what the machine has for the node already when it lets a connection go: the node may have been too slow
+    /// to read it, and it counts as the node's from the moment that it was written.
+    #[test]
+    fn what_came_before_the_parting_is_still_read() {
+        let settings = json!({"round": 4.0, "lanes": [], "invariants": {}, "specifics": {"cores": 1}});
+        let site = Arc::new(Site::from_json(&settings).expect("settings"));
+        let (module, _inbox) = bounded(1);
+        let listen = || TcpListener::bind("127.0.0.1:0").expect("loopback");
+        let log = Logger::root(Discard, o!());
+        let (limits, board) = (Limits::new(512), Arc::new(Board::default()));
+        let front = Front::start(listen(), site, &limits, &board, &module, &log).expect("a front");
+        let listener = listen();
+        let mut peer = TcpStream::connect(listener.local_addr().expect("bound")).expect("loopback");
+        let (stream, _) = listener.accept().expect("loopback");
+        let session = Mutex::new(Session::new(1, Instant::now()));
+        let connection = Arc::new(Connection { front, stream, session });
+        peer.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":5,\"method\":\"alive\"}\n").expect("written");
+        connection.part();
+        let (mailbox, inbox) = bounded(4);
+        connection.read(&mailbox);
+        let lines: Vec<Out> = inbox.try_iter().collect();
+        assert!(matches!(&lines[..], [Out::Line(line)] if line.contains("\"id\":5")));
+        assert_eq!(lock(&connection.session).dispensable(), None);
+    }
+}
--- a/src/net/jsonrpc/session.rs
+++ b/src/net/jsonrpc/session.rs
@@ -10,7 +10,7 @@
     TooMany,
     /// One with this id is open.
     IdInUse,
-    /// The connection is closing: the request crossed that, and nothing is done for it.
+    /// The connection was closed for a breach: nothing more is done for it.
     Closed,
 }
 
@@ -21,6 +21,7 @@
     /// A whole message that makes sense has come.
     spoke: bool,
     farewell: bool,
+    parting: bool,
     closed: bool,
     ended: bool,
     used: Instant,
@@ -34,6 +35,7 @@
             most,
             spoke: false,
             farewell: false,
+            parting: false,
             closed: false,
             ended: false,
             used: now,
@@ -68,10 +70,9 @@
     pub fn farewell(&mut self) -> bool {
         !std::mem::replace(&mut self.farewell, true)
     }
-    /// Closes it if nothing is open on it: from then on no request is taken, so none is lost with it.
-    pub fn close_unused(&mut self) -> bool {
-        self.closed |= self.open.is_empty();
-        self.closed
+    /// The connection goes once what has come is answered.
+    pub fn part(&mut self) {
+        self.parting = true;
     }
     /// Closes it whatever is open: the peer has broken the protocol.
     pub fn close(&mut self) {
@@ -85,14 +86,15 @@
     pub fn over(&self) -> bool {
         self.ended && self.open.is_empty()
     }
-    /// How much longer it may carry nothing, if `idle` is the most; none while a request is open.
+    /// How much longer it may carry nothing, if `idle` is the most; none while a request is open, or
+    /// once it parts.
     pub fn idle_left(&self, idle: Duration, now: Instant) -> Option<Duration> {
-        self.open.is_empty().then(|| (self.used + idle).saturating_duration_since(now))
+        (self.open.is_empty() && !self.parting).then(|| (self.used + idle).saturating_duration_since(now))
     }
     /// Its place among those that may be closed to make room, the first to go first: the silent, then by how long
-    /// nothing came or went. None while a request is open on it, or once it closes.
+    /// nothing came or went. None while a request is open on it, or once it goes.
     pub fn dispensable(&self) -> Option<(bool, Instant)> {
-        (self.open.is_empty() && !self.closed).then_some((self.spoke, self.used))
+        (self.open.is_empty() && !self.parting && !self.closed).then_some((self.spoke, self.used))
     }
     /// Whether nothing that makes sense has come on it.
     pub fn silent(&self) -> bool {
