--- a/src/logic.rs
+++ b/src/logic.rs
@@ -797,6 +797,10 @@
             self.seen.lingering.push(self.now + self.set.linger);
         }
         let Some(r) = self.drop_req(id) else { return };
+        if end == RunEnd::Moot {
+            // It took no core time after all, and must not pass for slowness.
+            self.seen.spent = (self.seen.spent - r.used).max(0.0);
+        }
         if matches!(end, RunEnd::Served) && phase == Some(Phase::OnCore) {
             let l = &mut self.learned[r.class];
             let guess = l.guess(r.size);
--- a/src/node/book.rs
+++ b/src/node/book.rs
@@ -3,6 +3,7 @@
 use std::collections::hash_map::RandomState;
 use std::collections::HashMap;
 use std::hash::BuildHasher;
+use std::time::Instant;
 
 use super::request::{Body, Reply, Rid};
 use crate::interface::{ClassId, RequestId};
@@ -38,6 +39,8 @@
     pub body: Body,
     pub reply: Option<Reply>,
     pub stage: Stage,
+    /// When the answer was given; what runs on after that is nobody's.
+    pub answered: Option<Instant>,
     /// Repeats one that ran, or may yet: it is failed and never run.
     pub repeats: bool,
     /// The link broke since its run was last heard of: the command may not have arrived.
@@ -117,6 +120,12 @@
     pub fn get(&mut self, id: RequestId) -> Option<&mut Entry> {
         self.entries.get_mut(&id)
     }
+    /// Requests held, with a run that someone waits for, and with one that nobody does.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let held = self.entries.values().filter(|e| !e.ran()).count();
+        let ghosts = self.entries.values().filter(|e| e.ran() && e.reply.is_none()).count();
+        (held, self.entries.len() - held - ghosts, ghosts)
+    }
     pub fn all(&mut self) -> impl Iterator<Item = &mut Entry> {
         self.entries.values_mut()
     }
@@ -129,7 +138,7 @@
     fn entry(n: u64, key: Option<u128>, repeats: bool) -> Entry {
         let (rid, body) = (Rid::from_number(n), Body::from_bytes(b""));
         let (stage, class) = (Stage::Held, ClassId(0));
-        Entry { rid, class, body, reply: None, stage, repeats, unsure: false, key }
+        Entry { rid, class, body, reply: None, stage, answered: None, repeats, unsure: false, key }
     }
 
     /// Guards the single effect: a key stays once its request was sent to run, and goes if it never was, so that a
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -15,6 +15,14 @@
     pub front_silent: Duration,
     /// How long one may carry nothing, until the module has said.
     pub front_idle: Duration,
+    /// Between looks at runs that nobody waits for.
+    pub sweep: Duration,
+    /// After its answer, when a run that has not ended is stopped again ...
+    pub stop_again: Duration,
+    /// ... and when it counts as over.
+    pub stop_given_up: Duration,
+    /// Between two lines of the log on what is in hand.
+    pub log_state: Duration,
     /// Between two log lines of a kind that any peer can cause.
     pub log_seldom: Duration,
     /// Bytes of one line from a front end: a body of 2 KiB in base64 and its fields, with room.
@@ -90,6 +98,10 @@
             connections_spare: 24,
             front_silent: Duration::from_millis(2000),
             front_idle: Duration::from_secs(60),
+            sweep: Duration::from_millis(200),
+            stop_again: Duration::from_millis(400),
+            stop_given_up: Duration::from_millis(2000),
+            log_state: Duration::from_secs(10),
             log_seldom: Duration::from_secs(1),
             front_line: 16 * 1024,
             executor_line: 32 * 1024,
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{at, never, select, Receiver};
+use crossbeam_channel::{at, never, select, tick, Receiver};
 use slog::{debug, info, warn, Logger};
 
 use super::book::{Book, Entry, Stage};
@@ -48,6 +48,7 @@
     leaving: bool,
     twice: Seldom,
     not_carried_out: Seldom,
+    state: Seldom,
     last: Instant,
 }
 
@@ -63,6 +64,7 @@
         let book = Book::new(limits.once_keys);
         let seldom = || Seldom::new(limits.log_seldom);
         let (twice, not_carried_out) = (seldom(), seldom());
+        let state = Seldom::new(limits.log_state);
         Module {
             site,
             seed,
@@ -83,15 +85,18 @@
             leaving: false,
             twice,
             not_carried_out,
+            state,
             last: Instant::now(),
         }
     }
 
     /// Serves its mailbox until every sender is gone.
     pub fn run(mut self, inbox: &Receiver<Msg>) {
+        let sweep = tick(self.limits.sweep);
         loop {
             let wait = self.next_look().map_or_else(never, at);
             select! {
+                recv(sweep) -> _ => self.sweep(),
                 recv(inbox) -> msg => match msg {
                     Ok(msg) => self.take(msg),
                     Err(_) => return,
@@ -105,6 +110,30 @@
         }
     }
 
+    /// Looks after runs that nobody waits for: their end may never be told, if a command was lost with a link. Each
+    /// is stopped again, and is over when that has brought nothing for long enough.
+    fn sweep(&mut self) {
+        let (again, over) = (self.limits.stop_again, self.limits.stop_given_up);
+        let late = |e: &&mut Entry| e.ran() && e.answered.is_some_and(|at| at.elapsed() >= again);
+        let mut gone = Vec::new();
+        for entry in self.book.all().filter(late) {
+            if entry.answered.is_some_and(|at| at.elapsed() >= over) {
+                gone.push(entry.rid);
+            } else {
+                let _ = self.peers.executor.try_send(ToExecutor::Kill(entry.rid));
+            }
+        }
+        for rid in gone {
+            warn!(self.log, "the end of a run never came"; "rid" => %rid);
+            self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal));
+        }
+        self.state.log(|_| {
+            let (held, running, ghosts) = self.book.counts();
+            info!(self.log, "state"; "held" => held, "running" => running, "ghosts" => ghosts,
+                "owed" => self.board.owed(), "timers" => self.timers.len(), "pending" => self.pending.len());
+        });
+    }
+
     /// When there is something to do without a message: the next batch, a timer, or gauges that don't come.
     fn next_look(&self) -> Option<Instant> {
         let batch = if self.pending.is_empty() { None } else { Some(self.earliest()) };
@@ -241,7 +270,8 @@
             return reply.give(Answer { outcome: Outcome::Failed(Failure::Internal), hint });
         }
         let (stage, reply) = (Stage::Held, Some(reply));
-        let id = self.book.enter(Entry { rid, class, body, reply, stage, repeats, unsure: false, key });
+        let entry = Entry { rid, class, body, reply, stage, answered: None, repeats, unsure: false, key };
+        let id = self.book.enter(entry);
         self.board.owed.fetch_add(1, Relaxed);
         let request = Request {
             id,
@@ -360,6 +390,7 @@
                 let stage = entry.stage.word();
                 info!(self.log, "failed"; "rid" => %entry.rid, "class" => entry.class.0, "why" => why.word(), "at" => stage);
             }
+            entry.answered = Some(Instant::now());
             self.board.owed.fetch_sub(1, Relaxed);
             reply.give(Answer { outcome, hint });
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -246,6 +246,19 @@
     assert_eq!((node.executor.runs("serve:read"), node.executor.runs("serve:post")), (1, 0));
 }
 
+/// Guards the count of what runs: a command lost with its link left a run in the books for good, which no notice would
+/// ever end, and each took a place on the cores.
+#[test]
+fn a_run_whose_end_never_comes_is_stopped_again_and_then_over() {
+    let node = Node::start();
+    node.executor.lose_next();
+    let mut front = node.front();
+    assert!(code(&front.ask(POST, "serve:lost")) != 0);
+    until("it is stopped again", || node.executor.killed() >= 2);
+    until("it is over", || node.log().contains("the end of a run never came"));
+    until("reads are served", || front.ask(READ, "serve")["result"].is_object());
+}
+
 /// The requests of a connection that closes go on: the module and the executor still count them.
 #[test]
 fn a_closing_connection_does_not_end_its_requests() {
@@ -415,3 +428,35 @@
     assert!((400..500).contains(&descriptors), "{descriptors} descriptors");
     println!("400 connections: {kb} kB, {descriptors} descriptors");
 }
+
+/// Guards the memory of a long day: with a cache of freed memory for each thread, as glibc has it unless told otherwise,
+/// the heap grows for as long as connections come and go. The deploy file's command tells it.
+#[test]
+fn connections_that_come_and_go_do_not_grow_the_heap() {
+    let node = Node::start();
+    let anonymous = || {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", node.process.id())).expect("a status");
+        let kb = status.lines().find_map(|line| line.strip_prefix("RssAnon:")?.trim().strip_suffix(" kB"));
+        kb.and_then(|kb| kb.trim().parse::<u64>().ok()).expect("a size")
+    };
+    // The same number stays open; each asks once, with a body of another length.
+    let mut open = std::collections::VecDeque::new();
+    let mut round = |from: usize, to: usize| {
+        for n in from..to {
+            let mut front = node.front();
+            let text = format!("serve:{}", "x".repeat(n * 37 % 1900));
+            assert_eq!(body(&front.ask(READ, &text)), format!("done {text}"));
+            open.push_back(front);
+            if open.len() > 100 {
+                open.pop_front();
+            }
+        }
+    };
+    round(0, 400);
+    let before = anonymous();
+    round(400, 2400);
+    let after = anonymous();
+    println!("{before} kB after 400 connections, {after} kB after 2,400");
+    assert!(after < before + 500, "{before} kB after 400 connections, {after} kB after 2,400");
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -71,6 +71,7 @@
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let each = each.clone();
+            stream.set_nodelay(true).expect("an option");
             thread::spawn(move || each(stream));
         }
     });
@@ -394,6 +395,11 @@
 /// The program's command line under this configuration.
 pub fn command(config: &Scratch) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_mothwinch"));
+    // What the deploy file's command sets for the program.
+    let deploy = include_str!("../../deploy/balancer.toml");
+    let run = deploy.lines().find_map(|line| line.strip_prefix("run = ")).expect("a command");
+    let words = run.trim_matches('"').split(' ').take_while(|word| *word != "exec");
+    command.envs(words.filter_map(|word| word.split_once('=')));
     command.env("PROXY_CONFIG", &config.0).stderr(Stdio::piped()).stdout(Stdio::null()).stdin(Stdio::null());
     command
 }
@@ -491,6 +497,7 @@
     pub fn connect(to: SocketAddr) -> Front {
         let stream = TcpStream::connect(to).expect("the node listens");
         stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        stream.set_nodelay(true).expect("an option");
         let from = BufReader::new(stream.try_clone().expect("a connection"));
         Front { stream, from, next: 0 }
     }
