Past its places a connection's newcomer alone is refused; front ends don't count given-up ones

The peers are true front ends (127.8.240.1 to .8). Line at fault: jsonrpc/mod.rs read(), Breach::TooMany as a breach: a front end that gives a request up says nothing and counts 32 without it, while it is open here until its due time.

--- a/src/net/jsonrpc/message.rs
+++ b/src/net/jsonrpc/message.rs
@@ -188,6 +188,12 @@
     write(id, Some(Served { body: None, ready: Some(ready), hint }), None)
 }
 
+/// The refusal of a request for which there is no place on its connection.
+pub fn crowded(id: u64) -> String {
+    let message = "refused: too many requests are open on this connection";
+    write(id, None, Some(Fault { code: REFUSED, message, data: Data::default() }))
+}
+
 /// The last line to a peer that breaks the protocol's bounds on a connection. It answers no request.
 pub fn breach(what: &str) -> String {
     let error = json!({"code": INVALID_REQUEST, "message": what});
--- a/src/net/jsonrpc/mod.rs
+++ b/src/net/jsonrpc/mod.rs
@@ -158,7 +158,7 @@
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(self.limits.write))?;
         // Room for every answer that may be owed, and for lines of the reader, which waits when there is none.
-        let (mailbox, inbox) = bounded(2 * self.limits.open_per_connection + 4);
+        let (mailbox, inbox) = bounded(self.limits.open_per_connection + 8);
         let session = Mutex::new(Session::new(self.limits.open_per_connection, Instant::now()));
         let connection = Arc::new(Connection { front: self.clone(), stream, session });
         let slot = Slot { mailbox: mailbox.clone(), connection: Arc::downgrade(&connection) };
@@ -230,9 +230,9 @@
                         Err(Breach::IdInUse) => {
                             return self.breach(mailbox, message::breach("a request with this id is open"))
                         }
-                        Err(Breach::TooMany) => {
-                            return self.breach(mailbox, message::breach("too many requests are open"))
-                        }
+                        // Those that the front end has given up are open here still, and it does not count them:
+                        // that is no breach.
+                        Err(Breach::TooMany) => mailbox.send(Out::Line(message::crowded(id))).is_ok(),
                     }
                 }
             };
--- a/src/net/jsonrpc/session.rs
+++ b/src/net/jsonrpc/session.rs
@@ -6,7 +6,7 @@
 /// Why a request is turned down before the core hears of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Breach {
-    /// More are open than the protocol allows.
+    /// More are open than are kept for one connection.
     TooMany,
     /// One with this id is open.
     IdInUse,
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -5,7 +5,8 @@
 /// See the module's head. Figures that the platform sets are filled in by [`Limits::new`].
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Requests open on one front connection: the protocol's maximum.
+    /// Requests open on one front connection. A front end has 32 at most, but those that it gives up, of which it says
+    /// nothing, stay open here until their due time.
     pub open_per_connection: usize,
     /// Front connections. Each is one descriptor and two threads.
     pub connections: usize,
@@ -92,7 +93,7 @@
     pub fn new(sockets: usize) -> Limits {
         let database_lanes = 24;
         Limits {
-            open_per_connection: 32,
+            open_per_connection: 64,
             // Lanes, the executor, the list, the listener, standard streams and a few spare ones come off.
             connections: sockets.saturating_sub(database_lanes + 40).clamp(8, 640),
             connections_spare: 24,
