Unused front connections hear farewell and go; 32 are kept: threads cost processor time

Seen: bad clients and peers with 3 cores: 453 descriptors, processor time at its limit in each second, 33 to 48 requests with no answer in time. A profile: front-read and front-write take three quarters of the nodes' time, in task switches and signal delivery (get_signal), as the platform stops and wakes all threads of a node over its share. Some 900 threads belonged to connections that asked once, or never. At fault: jsonrpc/mod.rs kept all up to the cap. Closing those at once was tried: 61 requests lost on connections whose reading side was shut while front ends still sent; hence farewell first. Ruled out: the module (0.5 percent) and the database lanes (0.9).

--- a/src/net/jsonrpc/session.rs
+++ b/src/net/jsonrpc/session.rs
@@ -14,6 +14,17 @@
     Closed,
 }
 
+/// How a connection carries nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Unused {
+    /// Its peer was told to go.
+    Leaving,
+    /// Nothing sensible has come on it yet.
+    Silent,
+    /// It has been used.
+    Idle,
+}
+
 /// What is open on a connection and whether it has been told to go.
 pub struct Session {
     open: HashSet<u64>,
@@ -66,8 +77,11 @@
         self.used = now;
         self.open.remove(&id)
     }
-    /// The connection is to take no new requests; false if that was said before.
-    pub fn farewell(&mut self) -> bool {
+    /// The peer is told to send no new requests here, and has a while from now to close; false if it was told before.
+    pub fn farewell(&mut self, now: Instant) -> bool {
+        if !self.farewell {
+            self.used = now;
+        }
         !std::mem::replace(&mut self.farewell, true)
     }
     /// The connection goes once what has come is answered.
@@ -91,10 +105,15 @@
     pub fn idle_left(&self, idle: Duration, now: Instant) -> Option<Duration> {
         (self.open.is_empty() && !self.parting).then(|| (self.used + idle).saturating_duration_since(now))
     }
-    /// Its place among those that may be closed to make room, the first to go first: the silent, then by how long
-    /// nothing came or went. None while a request is open on it, or once it goes.
-    pub fn dispensable(&self) -> Option<(bool, Instant)> {
-        (self.open.is_empty() && !self.parting && !self.closed).then_some((self.spoke, self.used))
+    /// Its place among those that may go to make room, the first to go first: those told to go, the silent, then by
+    /// how long nothing came or went. None while a request is open on it, or once it goes.
+    pub fn dispensable(&self) -> Option<(Unused, Instant)> {
+        let kind = match () {
+            () if self.farewell => Unused::Leaving,
+            () if !self.spoke => Unused::Silent,
+            () => Unused::Idle,
+        };
+        (self.open.is_empty() && !self.parting && !self.closed).then_some((kind, self.used))
     }
     /// Whether nothing that makes sense has come on it.
     pub fn silent(&self) -> bool {
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -12,7 +12,11 @@
     pub connections: usize,
     /// Front connections that are kept free, by closing those that carry nothing.
     pub connections_spare: usize,
-    /// How long a front connection may stay on which nothing sensible has come.
+    /// Front connections kept that carry nothing: those used last.
+    pub connections_unused: usize,
+    /// After this long without a sensible message a connection that is in the way goes without a farewell.
+    pub front_mute: Duration,
+    /// How long a front connection may stay, up to its farewell, on which nothing sensible has come.
     pub front_silent: Duration,
     /// How long one may carry nothing, until the module has said.
     pub front_idle: Duration,
@@ -97,7 +101,9 @@
             // Lanes, the executor, the list, the listener, standard streams and a few spare ones come off.
             connections: sockets.saturating_sub(database_lanes + 40).clamp(8, 640),
             connections_spare: 24,
-            front_silent: Duration::from_millis(2000),
+            connections_unused: 32,
+            front_mute: Duration::from_millis(300),
+            front_silent: Duration::from_millis(1100),
             front_idle: Duration::from_secs(60),
             sweep: Duration::from_millis(200),
             stop_again: Duration::from_millis(400),
@@ -119,7 +125,7 @@
             write: Duration::from_secs(10),
             report: Duration::from_millis(300),
             meter: Duration::from_millis(12),
-            farewell: Duration::from_secs(2),
+            farewell: Duration::from_millis(900),
             stop_margin: Duration::from_millis(120),
             drain_tick: Duration::from_millis(5),
             once_keys: 500_000,
