A lost call is given up early and failed calls don't count as slow ones

Lines at fault: logic.rs make_calls() let a call last until its request was due, so each lost one kept one of the few places of may_call() for seconds, and call_ended() counted its time, so slow_calls() took the ledger for slow and cut the share to a quarter. Ruled out: processor time, descriptors (36), the hold (0 to 42).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,6 +58,8 @@
 const SLOW_CALLS: f64 = 2.0;
 /// ... and gets only this part: more calls in its hands would slow it further.
 const CALLS_WHEN_SLOW: f64 = 0.25;
+/// A call is lost past this multiple of their long-run best, well beyond what a slow dependency makes of one.
+const CALL_PATIENCE: f64 = 80.0;
 /// The long-run best is forgotten over this many of the dependency's spans.
 const BEST_SPANS: f64 = 8.0;
 
@@ -627,6 +629,9 @@
     fn call_ended(&mut self, id: RequestId, end: CallEnd, took: Span, out: &mut Vec<Action>) {
         self.seen.calls_done += 1.0;
         if end == CallEnd::Failed {
+            // A call that failed tells nothing of how long calls take.
+            self.seen.calls_done -= 1.0;
+            self.seen.call_time = (self.seen.call_time - took.ms()).max(0.0);
             self.seen.lingering.push(self.now + self.set.linger);
         }
         let Some(r) = self.reqs.get(&id) else { return };
@@ -675,7 +680,7 @@
                     self.move_to(id, Phase::OnCore);
                 }
             } else if on_hand < self.crowd() && self.may_call() {
-                let limit = if can_skip { left } else { to_due };
+                let limit = if can_skip { left } else { to_due.min(self.call_patience(r.class)) };
                 out.push(Action::Call(id, Span::from_ms(limit.max(1.0))));
                 if let Some(r) = self.reqs.get_mut(&id) {
                     r.calls += 1.0;
@@ -707,6 +712,14 @@
         crowded && self.set.below == Below::Shared && self.call_ms() > SLOW_CALLS * doubt * self.call_best
     }
 
+    /// Ms after which an answer to a call is not to be expected: it would keep its place among the calls until
+    /// its request is due, and make the dependency look slow. Longer where it can't be made again.
+    fn call_patience(&self, class: usize) -> f64 {
+        let c = &self.set.classes[class];
+        let again = if c.effect == Effect::Repeatable { 1.0 } else { 2.0 };
+        (CALL_PATIENCE * self.call_best).max(c.aim.ms() / 4.0) * again
+    }
+
     /// In the mean over the told span, and never more at once than that, or one.
     fn may_call(&self) -> bool {
         let limit = self.call_limit();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -98,6 +98,27 @@
     }
 }
 
+/// Guards the places among the calls, and the view of the dependency, against calls whose answer never comes: each used to
+/// keep its place until its request was due, and its time made the dependency look slow.
+#[test]
+fn a_call_whose_answer_never_comes_is_given_up_early_and_does_not_count_as_slow() {
+    let mut s = Server::new(settings());
+    s.read(1..3, 0);
+    let limit = |out: &[Action]| {
+        out.iter().find_map(|a| if let Action::Call(_, l) = a { Some(l.ms()) } else { None })
+    };
+    let (one, two) = (RequestId(1), RequestId(2));
+    // Nothing is known of calls yet: only the due time bounds the first.
+    assert!(limit(&s.at(1010.0, &[Event::NeedsCall(one)])) > Some(5000.0));
+    s.at(1020.0, &[Event::CallEnded(one, CallEnd::Good, Span::from_ms(10.0))]);
+    let least = limit(&s.at(1030.0, &[Event::NeedsCall(two)])).expect("a call");
+    assert!((500.0..1000.0).contains(&least), "{least} ms");
+    s.at(1030.0 + least, &[Event::CallEnded(two, CallEnd::Failed, Span::from_ms(least))]);
+    // It is made again, under much the same limit.
+    let next = limit(&s.at(1100.0 + 2.0 * least, &[Event::Wake(Gauges::default())])).expect("a call");
+    assert!(next < 2.0 * least, "{next} ms after {least}");
+}
+
 #[test]
 fn calls_in_hand_stay_under_the_told_share() {
     let mut set = settings();
