--- a/src/logic.rs
+++ b/src/logic.rs
@@ -712,7 +712,7 @@
         crowded && self.set.below == Below::Shared && self.call_ms() > SLOW_CALLS * doubt * self.call_best
     }
 
-    /// Ms after which an answer to a call is not to be expected: it would keep its place among the calls until
+    /// Ms after which no answer to a call is expected any more: it would keep its place among the calls until
     /// its request is due, and make the dependency look slow. Longer where it can't be made again.
     fn call_patience(&self, class: usize) -> f64 {
         let c = &self.set.classes[class];
