--- /dev/null
+++ b/src/net/jsonrpc/events.rs
@@ -0,0 +1,497 @@
+//! The front's thread: one readiness loop over all its sockets. It never waits but for readiness, a timer or its
+//! mailbox, and it gives each connection its turn: so many bytes and lines, then the next one's.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io::{self, ErrorKind, Read, Write};
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{unbounded, Receiver, Sender};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Interest, Poll, Token, Waker};
+use slog::{debug, info, warn, Logger};
+
+use super::message::{self, Incoming};
+use super::{Breach, Counts, Due, Go, Mailbox, Out, Room, Session};
+use crate::node::{Arrival, Board, Limits, Msg, Reply, Seldom};
+use crate::wire::Site;
+
+const LISTENER: Token = Token(0);
+const MAILBOX: Token = Token(1);
+/// Connections are numbered from here up, and no number is given twice: what comes for one that is gone goes nowhere.
+const FIRST: usize = 2;
+
+/// What the front needs of the core.
+pub(super) struct Core {
+    pub site: Arc<Site>,
+    pub board: Arc<Board>,
+    pub module: Sender<Msg>,
+}
+
+/// A socket and what is known of it.
+struct Connection {
+    stream: TcpStream,
+    session: Session,
+    /// There may be something to read; so much is known from the poll, which tells of a change once.
+    readable: bool,
+    /// The peer has ended its side: the poll has told, so reading goes on until it shows.
+    hung_up: bool,
+    /// It waits for its turn.
+    queued: bool,
+    /// The earliest of its timers that is set.
+    timer: Option<Instant>,
+}
+
+/// See the module's head.
+pub(super) struct Events {
+    core: Core,
+    limits: Limits,
+    log: Logger,
+    poll: Poll,
+    /// None once the node takes no more.
+    listener: Option<TcpListener>,
+    /// Connections may wait to be accepted, but not before the time given.
+    acceptable: Option<Instant>,
+    mailbox: Arc<Mailbox>,
+    inbox: Receiver<Out>,
+    counts: Arc<Counts>,
+    connections: HashMap<usize, Connection>,
+    next: usize,
+    room: Room,
+    /// Whose turn it is, first to last.
+    turns: VecDeque<usize>,
+    /// When to look at which connection again. An entry that is no longer its connection's timer is passed over.
+    timers: BinaryHeap<Reverse<(Instant, usize)>>,
+    /// Bytes that wait to be written, over all connections.
+    unsent: usize,
+    chunk: Box<[u8]>,
+    turned_away: Seldom,
+}
+
+impl Events {
+    /// A loop over this listener, not yet running.
+    pub fn new(
+        listener: std::net::TcpListener,
+        core: Core,
+        limits: &Limits,
+        log: &Logger,
+    ) -> io::Result<Events> {
+        listener.set_nonblocking(true)?;
+        let mut listener = TcpListener::from_std(listener);
+        let poll = Poll::new()?;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        let (sender, inbox) = unbounded();
+        let waker = Waker::new(poll.registry(), MAILBOX)?;
+        Ok(Events {
+            core,
+            limits: limits.clone(),
+            log: log.clone(),
+            poll,
+            listener: Some(listener),
+            acceptable: None,
+            mailbox: Arc::new(Mailbox { sender, waker, woken: false.into() }),
+            inbox,
+            counts: Arc::default(),
+            connections: HashMap::new(),
+            next: FIRST,
+            room: Room::default(),
+            turns: VecDeque::new(),
+            timers: BinaryHeap::new(),
+            unsent: 0,
+            chunk: vec![0; limits.read].into(),
+            turned_away: Seldom::new(limits.log_seldom),
+        })
+    }
+    pub fn mailbox(&self) -> Arc<Mailbox> {
+        self.mailbox.clone()
+    }
+    pub fn counts(&self) -> Arc<Counts> {
+        self.counts.clone()
+    }
+
+    /// Runs as long as the process does.
+    pub fn run(mut self) {
+        let mut events = mio::Events::with_capacity(self.limits.front_events);
+        loop {
+            if let Err(e) = self.step(&mut events, None) {
+                // Nothing that a peer does leads here.
+                warn!(self.log, "poll"; "error" => %e);
+                std::thread::sleep(self.limits.reconnect);
+            }
+        }
+    }
+
+    /// Waits for something to do, for `most` at the most, and does it.
+    fn step(&mut self, events: &mut mio::Events, most: Option<Duration>) -> io::Result<()> {
+        match self.poll.poll(events, self.wait().or(most)) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(()),
+            other => other?,
+        }
+        let now = Instant::now();
+        for event in events.iter() {
+            match event.token() {
+                LISTENER => self.acceptable = Some(now),
+                MAILBOX => {}
+                Token(number) => self.ready(number, event, now),
+            }
+        }
+        self.answers(now);
+        self.accept(now);
+        self.take_turns(now);
+        self.look_at_timers(now);
+        Ok(())
+    }
+
+    /// How long there is nothing to do without an event; none where only an event brings work.
+    fn wait(&self) -> Option<Duration> {
+        let now = Instant::now();
+        if !self.turns.is_empty() {
+            // While the module is behind, what waits stays with the machine.
+            return Some(if self.module_has_room() { Duration::ZERO } else { self.limits.front_hold });
+        }
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let accept = self.acceptable.filter(|_| self.listener.is_some());
+        [timer, accept].into_iter().flatten().min().map(|at| at.saturating_duration_since(now))
+    }
+
+    /// The module's mailbox has room for a turn's lines, so that handing them over never waits.
+    fn module_has_room(&self) -> bool {
+        self.core.module.len() + self.limits.front_lines <= self.limits.module_mailbox / 2
+    }
+
+    // ---- connections come and go ----
+
+    fn accept(&mut self, now: Instant) {
+        for _ in 0..self.limits.front_accepts {
+            let Some(listener) =
+                self.listener.as_ref().filter(|_| self.acceptable.is_some_and(|at| at <= now))
+            else {
+                return;
+            };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    if let Err(e) = self.connect(stream, now) {
+                        self.turned_away
+                            .log(|more| warn!(self.log, "connection"; "error" => %e, "more" => more));
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.acceptable = None,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    // Out of descriptors, say: give them time to come back.
+                    warn!(self.log, "accept"; "error" => %e);
+                    self.acceptable = Some(now + self.limits.reconnect);
+                }
+            }
+        }
+    }
+
+    fn connect(&mut self, mut stream: TcpStream, now: Instant) -> io::Result<()> {
+        for (number, go) in self.room.make(self.connections.len(), &self.limits, now) {
+            match go {
+                Go::Part => self.part(number, now),
+                Go::Farewell => self.farewell(number, now),
+            }
+        }
+        if self.connections.len() >= self.limits.connections {
+            return Err(io::Error::other("too many connections"));
+        }
+        stream.set_nodelay(true)?;
+        let number = self.next;
+        self.next += 1;
+        // Both at once: the poll tells of changes alone, so the one that is not waited for costs nothing.
+        self.poll.registry().register(&mut stream, Token(number), Interest::READABLE | Interest::WRITABLE)?;
+        let session = Session::new(&self.limits, now);
+        let connection =
+            Connection { stream, session, readable: false, hung_up: false, queued: false, timer: None };
+        self.connections.insert(number, connection);
+        self.counts.connections.store(self.connections.len(), SeqCst);
+        self.settle(number, now);
+        Ok(())
+    }
+
+    /// Reads no more than has come already, which may be a request that this node was too slow to read: that is still
+    /// answered, and with the last answer the connection goes.
+    fn part(&mut self, number: usize, now: Instant) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        c.session.part();
+        c.readable = true;
+        self.turn(number, now);
+    }
+
+    fn farewell(&mut self, number: usize, now: Instant) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        if c.session.farewell(now) {
+            self.put(number, message::FAREWELL, now);
+        }
+        self.settle(number, now);
+    }
+
+    fn remove(&mut self, number: usize) {
+        let Some(c) = self.connections.remove(&number) else { return };
+        self.room.set(number, None);
+        self.unsent -= c.session.unsent().len();
+        self.counts.open.fetch_sub(c.session.open(), SeqCst);
+        self.counts.unsent.fetch_sub(usize::from(!c.session.unsent().is_empty()), SeqCst);
+        self.counts.connections.store(self.connections.len(), SeqCst);
+    }
+
+    // ---- reading ----
+
+    fn ready(&mut self, number: usize, event: &mio::event::Event, now: Instant) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        if event.is_error() {
+            // Reset: nothing that is owed on it can be answered any more.
+            return self.remove(number);
+        }
+        c.hung_up |= event.is_read_closed();
+        c.readable |= event.is_readable() || c.hung_up;
+        if event.is_writable() && !c.session.unsent().is_empty() {
+            self.settle(number, now);
+        } else {
+            self.queue(number);
+        }
+    }
+
+    /// Gives a connection its turn if there is anything to do for it.
+    fn queue(&mut self, number: usize) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        if (c.readable || c.session.has_more()) && !c.queued && c.session.hears(&self.limits) {
+            c.queued = true;
+            self.turns.push_back(number);
+        }
+    }
+
+    /// A turn for each that waits, in order. Who comes back in line meanwhile waits for the next round.
+    fn take_turns(&mut self, now: Instant) {
+        for _ in 0..self.turns.len() {
+            if !self.module_has_room() {
+                return;
+            }
+            let Some(number) = self.turns.pop_front() else { return };
+            self.turn(number, now);
+        }
+    }
+
+    /// Lines that came before and at most one read, up to what one turn allows.
+    fn turn(&mut self, number: usize, now: Instant) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        c.queued = false;
+        let mut lines = c.session.allowance(&self.limits);
+        let mut has_read = false;
+        while let Some(c) = self.connections.get_mut(&number) {
+            if !c.session.hears(&self.limits) || lines == 0 {
+                break;
+            }
+            match c.session.line() {
+                Ok(Some(line)) => {
+                    lines -= 1;
+                    let incoming = message::read(line, &self.core.site);
+                    self.serve(number, incoming, now);
+                }
+                Ok(None) if !c.readable => {
+                    if c.session.drained() {
+                        return self.farewell(number, now);
+                    }
+                    break;
+                }
+                Ok(None) if has_read => break,
+                Ok(None) => {
+                    has_read = true;
+                    match c.stream.read(&mut self.chunk) {
+                        Ok(0) => c.session.end(),
+                        Ok(n) => {
+                            // Less than was asked for: the machine has no more, unless the end is what comes next.
+                            c.readable = n == self.chunk.len() || c.hung_up;
+                            c.session.feed(&self.chunk[..n]);
+                        }
+                        Err(e) if e.kind() == ErrorKind::WouldBlock => c.readable = false,
+                        Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                        Err(e) => {
+                            debug!(self.log, "front read"; "error" => %e);
+                            return self.remove(number);
+                        }
+                    }
+                }
+                Err(_) => self.breach(number, &message::breach("a line is too long"), now),
+            }
+        }
+        self.settle(number, now);
+    }
+
+    fn serve(&mut self, number: usize, incoming: Incoming, now: Instant) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        match incoming {
+            Incoming::Alive(id) => {
+                c.session.touch(now);
+                let line = message::health(id, self.core.board.ready(), self.core.board.hint());
+                self.put(number, &line, now);
+            }
+            Incoming::Notification => {}
+            Incoming::Malformed(answer) => self.breach(number, &answer, now),
+            Incoming::Request(id, class, params) => match c.session.request(id, now) {
+                Ok(()) => {
+                    self.counts.open.fetch_add(1, SeqCst);
+                    let mailbox = self.mailbox.clone();
+                    let reply = Reply::new(move |answer| mailbox.tell(Out::Answer(number, id, answer)));
+                    let arrival: Arrival = params.arrival(class, &self.core.site, reply);
+                    // Without a module the node has ended.
+                    let _ = self.core.module.send(Msg::Arrived(Box::new(arrival)));
+                }
+                // An answer under this number would pass for that of the other request.
+                Err(Breach::IdInUse) => {
+                    self.breach(number, &message::breach("a request with this id is open"), now);
+                }
+                // Those that the front end has given up are open here still, and it does not count them: that is no
+                // breach.
+                Err(Breach::TooMany) => self.put(number, &message::crowded(id), now),
+                Err(Breach::Closed | Breach::LineTooLong) => {}
+            },
+        }
+    }
+
+    /// The peer has broken the protocol. What it says next can't be trusted either, and what it asked for before gets
+    /// no answer: no front end that is owed one sends this.
+    fn breach(&mut self, number: usize, answer: &str, now: Instant) {
+        self.put(number, answer, now);
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        c.session.close(now);
+        self.turned_away.log(|more| {
+            let peer = c.stream.peer_addr().map(|a| a.to_string()).unwrap_or_default();
+            info!(self.log, "protocol broken"; "peer" => peer, "answer" => answer.trim_end(), "more" => more);
+        });
+    }
+
+    // ---- writing ----
+
+    fn answers(&mut self, now: Instant) {
+        let (mailbox, inbox) = (self.mailbox.clone(), self.inbox.clone());
+        let mut written = Vec::new();
+        for out in mailbox.empty(&inbox) {
+            match out {
+                Out::Answer(number, id, answer) => {
+                    let Some(c) = self.connections.get_mut(&number) else { continue };
+                    if c.session.answered(id, now) {
+                        self.put(number, &message::answer(id, &answer), now);
+                        written.push(number);
+                    }
+                }
+                Out::Farewell => {
+                    let all: Vec<usize> = self.connections.keys().copied().collect();
+                    all.into_iter().for_each(|number| self.farewell(number, now));
+                }
+                Out::Close => self.listener = None,
+            }
+        }
+        for &number in &written {
+            self.settle(number, now);
+        }
+        // Only now are they on the wire, or counted among what is not.
+        self.counts.open.fetch_sub(written.len(), SeqCst);
+    }
+
+    /// A line for a connection, written as it settles. Bytes that wait are bounded for each and over all: past that,
+    /// who takes least of them is cut off.
+    fn put(&mut self, number: usize, line: &str, now: Instant) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        let before = c.session.unsent().len();
+        c.session.put(line.as_bytes(), now);
+        let more = c.session.unsent().len() - before;
+        self.unsent += more;
+        self.counts.unsent.fetch_add(usize::from(before == 0 && more > 0), SeqCst);
+        if c.session.unsent().len() > self.limits.front_output {
+            self.remove(number);
+        } else if self.unsent > self.limits.front_output_all {
+            let most = self.connections.iter().max_by_key(|(_, c)| c.session.unsent().len());
+            if let Some(number) = most.map(|(number, _)| *number) {
+                self.remove(number);
+            }
+        }
+    }
+
+    /// After anything that happened on a connection: writes what can be written, then sees whether it stays, where it
+    /// stands among those that may go, and when to look at it again.
+    fn settle(&mut self, number: usize, now: Instant) {
+        let Some(c) = self.connections.get_mut(&number) else { return };
+        while !c.session.unsent().is_empty() {
+            match c.stream.write(c.session.unsent()) {
+                Ok(n) => {
+                    c.session.sent(n, now);
+                    self.unsent -= n;
+                    if c.session.unsent().is_empty() {
+                        self.counts.unsent.fetch_sub(1, SeqCst);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => {
+                    debug!(self.log, "front write"; "error" => %e);
+                    return self.remove(number);
+                }
+            }
+        }
+        if c.session.over() {
+            return self.remove(number);
+        }
+        self.room.set(number, c.session.dispensable());
+        let idle = self.core.board.idle().unwrap_or(self.limits.front_idle);
+        if let Some(due) =
+            c.session.due(idle, &self.limits).filter(|due| c.timer.is_none_or(|timer| *due < timer))
+        {
+            c.timer = Some(due);
+            self.timers.push(Reverse((due, number)));
+        }
+        self.queue(number);
+    }
+
+    fn look_at_timers(&mut self, now: Instant) {
+        let idle = self.core.board.idle().unwrap_or(self.limits.front_idle);
+        while let Some(Reverse((at, number))) =
+            self.timers.peek().copied().filter(|Reverse((at, _))| *at <= now)
+        {
+            self.timers.pop();
+            let Some(c) = self.connections.get_mut(&number).filter(|c| c.timer == Some(at)) else { continue };
+            c.timer = None;
+            match c.session.on_time(idle, &self.limits, now) {
+                Some(Due::Farewell) => self.farewell(number, now),
+                Some(Due::Part) => self.part(number, now),
+                Some(Due::Cut) => self.remove(number),
+                None => self.settle(number, now),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+    use slog::{o, Discard};
+    use std::io::{BufRead, BufReader};
+
+    /// Guards what the machine has for the node already when it lets a connection go: the node may have been too slow
+    /// to read it, and it counts as the node's from the moment that it was written.
+    #[test]
+    fn what_came_before_the_parting_is_still_read() {
+        let settings = json!({"round": 4.0, "lanes": [], "invariants": {}, "specifics": {"cores": 1}});
+        let site = Arc::new(Site::from_json(&settings).expect("settings"));
+        let (module, _inbox) = crossbeam_channel::bounded(1);
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+        let at = listener.local_addr().expect("bound");
+        let core = Core { site, board: Arc::default(), module };
+        let limits = Limits::new(512);
+        let mut front = Events::new(listener, core, &limits, &Logger::root(Discard, o!())).expect("a front");
+        let mut events = mio::Events::with_capacity(4);
+        let mut peer = std::net::TcpStream::connect(at).expect("loopback");
+        front.step(&mut events, Some(limits.write)).expect("a step");
+        assert_eq!(front.connections.len(), 1);
+        peer.write_all(b"{\"jsonrpc\":\"2.0\",\"id\":5,\"method\":\"alive\"}\n").expect("written");
+        front.part(FIRST, Instant::now());
+        assert_eq!(front.connections.len(), 0);
+        let mut said = String::new();
+        BufReader::new(peer).read_line(&mut said).expect("an answer");
+        assert!(said.contains("\"id\":5"), "{said}");
+    }
+}
--- a/src/net/jsonrpc/message.rs
+++ b/src/net/jsonrpc/message.rs
@@ -89,7 +89,7 @@
 pub fn read(line: &[u8], site: &Site) -> Incoming {
     let malformed = |id: Option<u64>, code, text: &str| {
         let error = json!({"code": code, "message": text});
-        Incoming::Malformed(json!({"jsonrpc": "2.0", "id": id, "error": error}).to_string())
+        Incoming::Malformed(json!({"jsonrpc": "2.0", "id": id, "error": error}).to_string() + "\n")
     };
     let Ok(value) = serde_json::from_slice::<Value>(line) else {
         return malformed(None, PARSE, "not JSON");
--- /dev/null
+++ b/src/net/jsonrpc/room.rs
@@ -0,0 +1,113 @@
+//! Which front connections go when slots run short: a decision over all of them, without their sockets. It keeps
+//! those that carry nothing in order, so that a newcomer costs no walk over the whole table.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Instant;
+
+use super::session::Unused;
+use crate::node::Limits;
+
+/// How one goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Go {
+    /// What has come on it is read and answered, then it is closed.
+    Part,
+    /// Its peer is told to go and has a while to do so.
+    Farewell,
+}
+
+/// The connections that carry nothing, by kind and then by how long.
+#[derive(Default)]
+pub struct Room {
+    leaving: BTreeSet<(Instant, usize)>,
+    silent: BTreeSet<(Instant, usize)>,
+    idle: BTreeSet<(Instant, usize)>,
+    places: HashMap<usize, (Unused, Instant)>,
+}
+
+impl Room {
+    fn kind(&mut self, kind: Unused) -> &mut BTreeSet<(Instant, usize)> {
+        match kind {
+            Unused::Leaving => &mut self.leaving,
+            Unused::Silent => &mut self.silent,
+            Unused::Idle => &mut self.idle,
+        }
+    }
+    /// Notes where a connection stands now: see [`super::Session::dispensable`].
+    pub fn set(&mut self, number: usize, place: Option<(Unused, Instant)>) {
+        let old = match place {
+            Some(place) => self.places.insert(number, place),
+            None => self.places.remove(&number),
+        };
+        if old == place {
+            return;
+        }
+        if let Some((kind, used)) = old {
+            self.kind(kind).remove(&(used, number));
+        }
+        if let Some((kind, used)) = place {
+            self.kind(kind).insert((used, number));
+        }
+    }
+    /// Who goes now so that there is room for one more beside `open` connections: where more carry nothing than are
+    /// kept, those least missed; where slots run short, the first of all.
+    pub fn make(&self, open: usize, limits: &Limits, now: Instant) -> Vec<(usize, Go)> {
+        let mut go = Vec::new();
+        if open + limits.connections_spare >= limits.connections {
+            let first = self.leaving.iter().chain(&self.silent).chain(&self.idle).next();
+            go.extend(first.map(|(_, number)| (*number, Go::Part)));
+        }
+        let most = (self.silent.len() + self.idle.len()).saturating_sub(limits.connections_unused);
+        let mute = |used: &Instant| now.saturating_duration_since(*used) > limits.front_mute;
+        // Closed at once, one that is used would lose what its front end sends meanwhile. A front end sends as soon
+        // as it has connected, so one that has been silent for a while is none.
+        let silent =
+            self.silent.iter().map(|(used, n)| (*n, if mute(used) { Go::Part } else { Go::Farewell }));
+        let idle = self.idle.iter().map(|(_, n)| (*n, Go::Farewell));
+        go.extend(
+            silent
+                .chain(idle)
+                .take(most)
+                .filter(|(n, _)| go.iter().all(|(first, _)| first != n))
+                .collect::<Vec<_>>(),
+        );
+        go
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    /// Guards the slots: those told to go before the silent, the silent before the used, of the used the longest idle,
+    /// and none with a request open.
+    #[test]
+    fn the_least_missed_go_first() {
+        let limits =
+            Limits { connections: 8, connections_spare: 2, connections_unused: 2, ..Limits::new(512) };
+        let start = Instant::now();
+        let at = |ms| start + Duration::from_millis(ms);
+        let mut room = Room::default();
+        for (number, kind, ms) in
+            [(1, Unused::Idle, 5), (2, Unused::Idle, 3), (3, Unused::Silent, 10), (4, Unused::Silent, 900)]
+        {
+            room.set(number, Some((kind, at(ms))));
+        }
+        // Two too many; one has been silent long enough to be no front end, one has only just come.
+        assert_eq!(room.make(4, &limits, at(1000)), [(3, Go::Part), (4, Go::Farewell)]);
+        room.set(4, Some((Unused::Leaving, at(1000))));
+        assert_eq!(room.make(4, &limits, at(1000)), [(3, Go::Part)]);
+        // Slots run short: the one told to go is the first.
+        assert_eq!(room.make(6, &limits, at(1000)), [(4, Go::Part), (3, Go::Part)]);
+        for number in [3, 4] {
+            room.set(number, None);
+        }
+        assert_eq!(room.make(6, &limits, at(1000)), [(2, Go::Part)]);
+        // A request on it: it stays.
+        room.set(2, None);
+        assert_eq!(room.make(6, &limits, at(1000)), [(1, Go::Part)]);
+        room.set(1, None);
+        assert_eq!(room.make(6, &limits, at(1000)), []);
+    }
+}
--- a/src/net/jsonrpc/session.rs
+++ b/src/net/jsonrpc/session.rs
@@ -1,17 +1,22 @@
-//! The states of one front connection, apart from its socket.
+//! One front connection as a state machine, apart from its socket: bytes and times come in; lines, verdicts and the
+//! bytes to write come out. The same code runs under the event loop and under the tests' random steps.
 
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-/// Why a request is turned down before the core hears of it.
+use crate::node::Limits;
+
+/// Why a peer is turned down before the core hears of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Breach {
-    /// More are open than are kept for one connection.
+    /// More requests are open than are kept for one connection.
     TooMany,
     /// One with this id is open.
     IdInUse,
     /// The connection was closed for a breach: nothing more is done for it.
     Closed,
+    /// A line is longer than any message.
+    LineTooLong,
 }
 
 /// How a connection carries nothing.
@@ -25,10 +30,23 @@
     Idle,
 }
 
-/// What is open on a connection and whether it has been told to go.
+/// What time asks of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    /// It has carried nothing for long enough: its peer is told to go.
+    Farewell,
+    /// Its peer was told and is still here: what has come is read and answered, then it goes.
+    Part,
+    /// Its peer takes none of what is written, or was heard out and stays: it is cut off.
+    Cut,
+}
+
+/// A front connection: what is open on it, what has come and is not looked at, what is to be written, and whether
+/// its peer has been told to go.
 pub struct Session {
     open: HashSet<u64>,
-    most: usize,
+    most_open: usize,
+    most_line: usize,
     /// A whole message that makes sense has come.
     spoke: bool,
     farewell: bool,
@@ -36,21 +54,65 @@
     closed: bool,
     ended: bool,
     used: Instant,
+    /// What has come; looked at up to `taken`, and without an end of line up to `searched`.
+    input: Vec<u8>,
+    taken: usize,
+    searched: usize,
+    /// What is to be written; up to `written` it has been.
+    output: Vec<u8>,
+    written: usize,
+    /// Since when something is to be written and the peer takes none of it.
+    stuck: Option<Instant>,
 }
 
 impl Session {
-    /// A fresh connection on which `most` requests may be open.
-    pub fn new(most: usize, now: Instant) -> Session {
+    /// A fresh connection.
+    pub fn new(limits: &Limits, now: Instant) -> Session {
         Session {
             open: HashSet::new(),
-            most,
+            most_open: limits.open_per_connection,
+            most_line: limits.front_line,
             spoke: false,
             farewell: false,
             parting: false,
             closed: false,
             ended: false,
             used: now,
+            input: Vec::new(),
+            taken: 0,
+            searched: 0,
+            output: Vec::new(),
+            written: 0,
+            stuck: None,
+        }
+    }
+
+    // ---- what comes in ----
+
+    /// Bytes came.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.input.extend_from_slice(bytes);
+    }
+    /// The next whole line of what came, without its end; none until more comes. A connection that carries nothing
+    /// keeps no buffer.
+    pub fn line(&mut self) -> Result<Option<&[u8]>, Breach> {
+        let end = self.input[self.searched..].iter().position(|b| *b == b'\n').map(|at| self.searched + at);
+        let from = self.taken;
+        if end.unwrap_or(self.input.len()) - from > self.most_line {
+            return Err(Breach::LineTooLong);
         }
+        let Some(end) = end else {
+            if from == self.input.len() {
+                self.input = Vec::new();
+            } else {
+                self.input.drain(..from);
+            }
+            (self.taken, self.searched) = (0, self.input.len());
+            return Ok(None);
+        };
+        (self.taken, self.searched) = (end + 1, end + 1);
+        let line = &self.input[from..end];
+        Ok(Some(line.strip_suffix(b"\r").unwrap_or(line)))
     }
     /// A request came.
     pub fn request(&mut self, id: u64, now: Instant) -> Result<(), Breach> {
@@ -61,7 +123,7 @@
         if self.open.contains(&id) {
             return Err(Breach::IdInUse);
         }
-        if self.open.len() >= self.most {
+        if self.open.len() >= self.most_open {
             return Err(Breach::TooMany);
         }
         self.open.insert(id);
@@ -72,11 +134,72 @@
         self.spoke = true;
         self.used = now;
     }
-    /// An answer goes out; false if none is owed for this id.
+    /// The peer sends no more.
+    pub fn end(&mut self) {
+        self.ended = true;
+    }
+    /// Whether there may be a whole line among what came.
+    pub fn has_more(&self) -> bool {
+        self.searched < self.input.len()
+    }
+    /// All that the machine had for it is read. One that parts ends with that, unless a request was among it: then it
+    /// is in use. True where the peer must be told to go all the same.
+    pub fn drained(&mut self) -> bool {
+        if !std::mem::take(&mut self.parting) {
+            return false;
+        }
+        self.ended |= self.open.is_empty();
+        !self.ended
+    }
+    /// Whether more may be read: not from a peer that is done with, nor from one that lets its answers pile up.
+    pub fn hears(&self, limits: &Limits) -> bool {
+        !self.closed && !self.ended && self.unsent().len() <= limits.front_output / 2
+    }
+    /// Lines that it may have read in one turn: one that has more open than the protocol lets it have must not hold
+    /// up those that keep to it.
+    pub fn allowance(&self, limits: &Limits) -> usize {
+        if self.open.len() > limits.front_fair {
+            1
+        } else {
+            limits.front_lines
+        }
+    }
+
+    // ---- what goes out ----
+
+    /// A line is to be written; after a breach nothing is.
+    pub fn put(&mut self, line: &[u8], now: Instant) {
+        if self.closed {
+            return;
+        }
+        if self.written == self.output.len() {
+            self.output.clear();
+            self.written = 0;
+            self.stuck = Some(now);
+        }
+        self.output.extend_from_slice(line);
+    }
+    /// An answer goes out; false if none is owed for this id. Its place is free before the front end can know, which
+    /// may fill it at once: freed after the writing, it would make the newcomer one too many.
     pub fn answered(&mut self, id: u64, now: Instant) -> bool {
         self.used = now;
         self.open.remove(&id)
     }
+    /// What is still to be written.
+    pub fn unsent(&self) -> &[u8] {
+        &self.output[self.written..]
+    }
+    /// So much of it was taken.
+    pub fn sent(&mut self, bytes: usize, now: Instant) {
+        self.written += bytes;
+        self.stuck = Some(now);
+        if self.written >= self.output.len() {
+            (self.output, self.written, self.stuck) = (Vec::new(), 0, None);
+        }
+    }
+
+    // ---- whether it stays ----
+
     /// The peer is told to send no new requests here, and has a while from now to close; false if it was told before.
     pub fn farewell(&mut self, now: Instant) -> bool {
         if !self.farewell {
@@ -84,26 +207,42 @@
         }
         !std::mem::replace(&mut self.farewell, true)
     }
-    /// The connection goes once what has come is answered.
+    /// The connection goes once what has come is read and answered.
     pub fn part(&mut self) {
         self.parting = true;
     }
-    /// Closes it whatever is open: the peer has broken the protocol.
-    pub fn close(&mut self) {
+    /// Closes it whatever is open, but for what is to be written: the peer has broken the protocol.
+    pub fn close(&mut self, now: Instant) {
         self.closed = true;
-    }
-    /// The peer sends no more.
-    pub fn end(&mut self) {
-        self.ended = true;
+        self.used = now;
+        self.input = Vec::new();
+        (self.taken, self.searched) = (0, 0);
     }
     /// Nothing more will come or go.
     pub fn over(&self) -> bool {
-        self.ended && self.open.is_empty()
+        self.unsent().is_empty() && (self.closed || self.ended && self.open.is_empty())
+    }
+    /// When time will ask something of it, where nothing else happens before; `idle` is how long one that was used
+    /// may carry nothing.
+    pub fn due(&self, idle: Duration, limits: &Limits) -> Option<Instant> {
+        let written =
+            self.stuck.map(|since| since + if self.closed { limits.farewell } else { limits.write });
+        let patience = match () {
+            () if self.farewell => limits.farewell,
+            () if !self.spoke => limits.front_silent,
+            () => idle,
+        };
+        let unused = self.dispensable().map(|(_, used)| used + patience);
+        [written, unused].into_iter().flatten().min()
     }
-    /// How much longer it may carry nothing, if `idle` is the most; none while a request is open, or
-    /// once it parts.
-    pub fn idle_left(&self, idle: Duration, now: Instant) -> Option<Duration> {
-        (self.open.is_empty() && !self.parting).then(|| (self.used + idle).saturating_duration_since(now))
+    /// What time asks of it now.
+    pub fn on_time(&self, idle: Duration, limits: &Limits, now: Instant) -> Option<Due> {
+        self.due(idle, limits).filter(|due| *due <= now)?;
+        Some(match () {
+            () if self.stuck.is_some() => Due::Cut,
+            () if self.farewell => Due::Part,
+            () => Due::Farewell,
+        })
     }
     /// Its place among those that may go to make room, the first to go first: those told to go, the silent, then by
     /// how long nothing came or went. None while a request is open on it, or once it goes.
@@ -113,14 +252,11 @@
             () if !self.spoke => Unused::Silent,
             () => Unused::Idle,
         };
-        (self.open.is_empty() && !self.parting && !self.closed).then_some((kind, self.used))
-    }
-    /// Whether nothing that makes sense has come on it.
-    pub fn silent(&self) -> bool {
-        !self.spoke
+        let unused = self.open.is_empty() && !self.parting && !self.closed && !self.ended;
+        unused.then_some((kind, self.used))
     }
-    /// Whether the peer was told to go.
-    pub fn leaving(&self) -> bool {
-        self.farewell
+    /// Requests open on it.
+    pub fn open(&self) -> usize {
+        self.open.len()
     }
 }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -8,7 +8,7 @@
     /// Requests open on one front connection. A front end has 32 at most, but those that it gives up, of which it says
     /// nothing, stay open here until their due time.
     pub open_per_connection: usize,
-    /// Front connections. Each is one descriptor and two threads.
+    /// Front connections. Each is one descriptor.
     pub connections: usize,
     /// Front connections that are kept free, by closing those that carry nothing.
     pub connections_spare: usize,
@@ -30,6 +30,20 @@
     pub log_state: Duration,
     /// Between two log lines of a kind that any peer can cause.
     pub log_seldom: Duration,
+    /// Requests that the protocol lets be open on one front connection: one with more has a line a turn.
+    pub front_fair: usize,
+    /// Lines read from a front connection in one turn.
+    pub front_lines: usize,
+    /// Connections accepted in one turn.
+    pub front_accepts: usize,
+    /// Readiness events taken from the poll at once.
+    pub front_events: usize,
+    /// While the module is this far behind, time between looks at whether it has caught up.
+    pub front_hold: Duration,
+    /// Bytes that wait to be written on one front connection; nothing is read from it while half of that waits.
+    pub front_output: usize,
+    /// Bytes that wait to be written on all of them.
+    pub front_output_all: usize,
     /// Bytes of one line from a front end: a body of 2 KiB in base64 and its fields, with room.
     pub front_line: usize,
     /// Bytes of one line from the executor: 4 KiB in base64 and its fields, with room.
@@ -110,6 +124,14 @@
             stop_given_up: Duration::from_millis(2000),
             log_state: Duration::from_secs(10),
             log_seldom: Duration::from_secs(1),
+            front_fair: 32,
+            front_lines: 8,
+            front_accepts: 16,
+            front_events: 256,
+            front_hold: Duration::from_millis(1),
+            // Answers to all that may be open on one, twice over.
+            front_output: 768 * 1024,
+            front_output_all: 4 * 1024 * 1024,
             front_line: 16 * 1024,
             executor_line: 32 * 1024,
             database_reply: 256 * 1024,
