--- a/src/node/book.rs
+++ b/src/node/book.rs
@@ -37,6 +37,8 @@
     pub rid: Rid,
     pub class: ClassId,
     pub body: Body,
+    /// Kilobytes that the platform books for it while it is held.
+    pub held_kb: f64,
     pub reply: Option<Reply>,
     pub stage: Stage,
     /// When the answer was given; what runs on after that is nobody's.
@@ -126,6 +128,10 @@
         let ghosts = self.entries.values().filter(|e| e.ran() && e.reply.is_none()).count();
         (held, self.entries.len() - held - ghosts, ghosts)
     }
+    /// Kilobytes that the platform books for all of them, where a run takes `run_factor` times what is held.
+    pub fn booked_kb(&self, run_factor: f64) -> f64 {
+        self.entries.values().map(|e| e.held_kb * if e.ran() { run_factor } else { 1.0 }).sum()
+    }
     pub fn all(&mut self) -> impl Iterator<Item = &mut Entry> {
         self.entries.values_mut()
     }
@@ -138,7 +144,18 @@
     fn entry(n: u64, key: Option<u128>, repeats: bool) -> Entry {
         let (rid, body) = (Rid::from_number(n), Body::from_bytes(b""));
         let (stage, class) = (Stage::Held, ClassId(0));
-        Entry { rid, class, body, reply: None, stage, answered: None, repeats, unsure: false, key }
+        Entry {
+            rid,
+            class,
+            body,
+            held_kb: 1.0,
+            reply: None,
+            stage,
+            answered: None,
+            repeats,
+            unsure: false,
+            key,
+        }
     }
 
     /// Guards the single effect: a key stays once its request was sent to run, and goes if it never was, so that a
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -49,9 +49,19 @@
     twice: Seldom,
     not_carried_out: Seldom,
     state: Seldom,
+    peaks: Peaks,
     last: Instant,
 }
 
+/// The worst since the last line of the log on what is in hand.
+#[derive(Default)]
+struct Peaks {
+    /// Kilobytes that the platform books, as seen by the sweep.
+    booked_kb: f64,
+    /// Age of a request when the module was told of it.
+    age: Span,
+}
+
 impl Module {
     /// An actor that waits for the executor to come up.
     pub fn new(
@@ -86,6 +96,7 @@
             twice,
             not_carried_out,
             state,
+            peaks: Peaks::default(),
             last: Instant::now(),
         }
     }
@@ -127,10 +138,15 @@
             warn!(self.log, "the end of a run never came"; "rid" => %rid);
             self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal));
         }
+        let booked_kb = self.book.booked_kb(self.site.settings.run_factor);
+        self.peaks.booked_kb = self.peaks.booked_kb.max(booked_kb);
         self.state.log(|_| {
             let (held, running, ghosts) = self.book.counts();
+            let peaks = std::mem::take(&mut self.peaks);
             info!(self.log, "state"; "held" => held, "running" => running, "ghosts" => ghosts,
-                "owed" => self.board.owed(), "timers" => self.timers.len(), "pending" => self.pending.len());
+                "owed" => self.board.owed(), "timers" => self.timers.len(), "pending" => self.pending.len(),
+                "booked_kb" => booked_kb as u64, "most_booked_kb" => peaks.booked_kb as u64,
+                "memory_kb" => self.site.settings.memory_kb as u64, "oldest_read_ms" => peaks.age.ms() as u64);
         });
     }
 
@@ -180,9 +196,11 @@
     fn batch(&mut self) {
         let Some(policy) = &mut self.policy else { return self.pending.clear() };
         let now = unix_now();
+        let oldest = &mut self.peaks.age;
         let told = |p: Pending| match p {
             Pending::Read(mut request, arrived) => {
                 request.age = Span((now - arrived).0.max(0));
+                *oldest = request.age.max(*oldest);
                 Event::Read(request)
             }
             Pending::Other(event) => event,
@@ -270,7 +288,8 @@
             return reply.give(Answer { outcome: Outcome::Failed(Failure::Internal), hint });
         }
         let (stage, reply) = (Stage::Held, Some(reply));
-        let entry = Entry { rid, class, body, reply, stage, answered: None, repeats, unsure: false, key };
+        let entry =
+            Entry { rid, class, body, held_kb, reply, stage, answered: None, repeats, unsure: false, key };
         let id = self.book.enter(entry);
         self.board.owed.fetch_add(1, Relaxed);
         let request = Request {
