--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -12,7 +12,7 @@
     pub connections: usize,
     /// Front connections that are kept free, by closing those that carry nothing.
     pub connections_spare: usize,
-    /// Front connections kept that carry nothing: those used last.
+    /// Front connections kept that carry nothing: those used last. The rest of the table is for those at work.
     pub connections_unused: usize,
     /// After this long without a sensible message a connection that is in the way goes without a farewell.
     pub front_mute: Duration,
@@ -110,12 +110,13 @@
     /// The limits under so many descriptors.
     pub fn new(sockets: usize) -> Limits {
         let database_lanes = 24;
+        // Lanes, the executor, the list, the listener, standard streams and a few spare ones come off.
+        let connections = sockets.saturating_sub(database_lanes + 40).clamp(8, 640);
         Limits {
             open_per_connection: 64,
-            // Lanes, the executor, the list, the listener, standard streams and a few spare ones come off.
-            connections: sockets.saturating_sub(database_lanes + 40).clamp(8, 640),
+            connections,
             connections_spare: 24,
-            connections_unused: 32,
+            connections_unused: connections / 4 * 3,
             front_mute: Duration::from_millis(300),
             front_silent: Duration::from_millis(1100),
             front_idle: Duration::from_secs(60),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -179,12 +179,15 @@
 /// that sends meanwhile is served.
 #[test]
 fn a_crowd_that_asked_once_and_stays_shuts_nobody_out() {
-    let node = Node::start_with(None, |config| config["settings"]["lanes"][1]["deadline"] = json!(15000));
+    let node = Node::start_with(None, |config| {
+        config["settings"]["lanes"][1]["deadline"] = json!(15000);
+        config["limits"]["sockets"] = json!(512);
+    });
     let mut waits = node.front();
     waits.send(POST, "hang");
     until("it runs", || node.executor.runs("hang") == 1);
     let mut crowd = Vec::new();
-    for _ in 0..120 {
+    for _ in 0..380 {
         let mut front = node.front();
         assert_eq!(body(&front.ask(READ, "serve")), "done serve");
         crowd.push(front);
@@ -195,7 +198,7 @@
     assert!(told.iter().any(|m| m["method"] == "farewell"), "{told:?}");
     assert!(told.iter().any(|m| m["result"].is_object()), "{told:?}");
     assert_eq!(told[2], Value::Null);
-    assert_eq!(crowd[119].alive()["result"]["ready"], true);
+    assert_eq!(crowd[379].alive()["result"]["ready"], true);
     node.executor.finish("hang");
     assert_eq!(body(&waits.next()), "late result");
 }
@@ -443,13 +446,7 @@
         let mut lines = std::io::BufRead::lines(std::io::BufReader::new(stream)).map_while(Result::ok);
         assert!(lines.any(|line| line.contains("\"ready\":true")));
     }
-    let process = format!("/proc/{}", node.process.id());
-    let status = std::fs::read_to_string(format!("{process}/status")).expect("a status");
-    let kb: u64 = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB")?.trim().parse().ok())
-        .expect("a size");
-    let descriptors = std::fs::read_dir(format!("{process}/fd")).expect("a list").count();
+    let Usage { resident_kb: kb, descriptors, .. } = node.usage();
     assert!(kb < 96 * 1024, "{kb} kB of 192 MB");
     assert!(descriptors < 500, "{descriptors} descriptors");
     println!("400 connections: {kb} kB, {descriptors} descriptors");
@@ -460,12 +457,7 @@
 #[test]
 fn connections_that_come_and_go_do_not_grow_the_heap() {
     let node = Node::start();
-    let anonymous = || {
-        let status =
-            std::fs::read_to_string(format!("/proc/{}/status", node.process.id())).expect("a status");
-        let kb = status.lines().find_map(|line| line.strip_prefix("RssAnon:")?.trim().strip_suffix(" kB"));
-        kb.and_then(|kb| kb.trim().parse::<u64>().ok()).expect("a size")
-    };
+    let anonymous = || node.usage().anonymous_kb;
     // The same number stays open; each asks once, with a body of another length.
     let mut open = std::collections::VecDeque::new();
     let mut round = |from: usize, to: usize| {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -363,6 +363,17 @@
     config: Scratch,
 }
 
+/// What a process takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    pub threads: u64,
+    pub descriptors: u64,
+    pub resident_kb: u64,
+    pub anonymous_kb: u64,
+    /// Processor time since its start, in steps of 10 ms.
+    pub processor_ms: u64,
+}
+
 /// The configuration of a node with these peers.
 pub fn config(executor: SocketAddr, database: SocketAddr, list: SocketAddr) -> Value {
     json!({"name": "n3", "listen": "127.0.0.1:0", "executor": executor, "members": list, "db": database,
@@ -394,7 +405,9 @@
 
 /// The program's command line under this configuration.
 pub fn command(config: &Scratch) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_mothwinch"));
+    // Measurements may name an earlier build, to compare with.
+    let program = std::env::var("MOTHWINCH_PROGRAM").unwrap_or(env!("CARGO_BIN_EXE_mothwinch").into());
+    let mut command = Command::new(program);
     // What the deploy file's command sets for the program.
     let deploy = include_str!("../../deploy/balancer.toml");
     let run = deploy.lines().find_map(|line| line.strip_prefix("run = ")).expect("a command");
@@ -450,6 +463,25 @@
     pub fn log(&self) -> String {
         lock(&self.log).clone()
     }
+    /// What the process takes now.
+    pub fn usage(&self) -> Usage {
+        let process = format!("/proc/{}", self.process.id());
+        let status = std::fs::read_to_string(format!("{process}/status")).expect("a status");
+        let figure = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name));
+            let figure = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+            figure.expect("a figure")
+        };
+        let stat = std::fs::read_to_string(format!("{process}/stat")).expect("a status");
+        let ticks = stat.rsplit(") ").next().expect("fields").split(' ').skip(11).take(2);
+        Usage {
+            threads: figure("Threads:"),
+            descriptors: std::fs::read_dir(format!("{process}/fd")).expect("a list").count() as u64,
+            resident_kb: figure("VmRSS:"),
+            anonymous_kb: figure("RssAnon:"),
+            processor_ms: ticks.map(|ticks| ticks.parse::<u64>().expect("a figure") * 10).sum(),
+        }
+    }
     /// The notice to leave.
     pub fn terminate(&self) {
         self.signal("TERM");
