A router that keeps tenants to their cells; a workspace; the command line on clap

Change: mothwinch route, one readiness loop over clients and nodes, on decisions without I/O in crates/routing: power of two choices on load, weight and the nodes' hints, bounded lines, retry budgets by tenant and cell, outliers left out, probed and taken back by degrees; a settlement that may have run is never sent again. mothwinch cells check, show, plan. Session and Room move to crates/connections with Bounds, which both fronts use.

--- a/src/net/jsonrpc/room.rs
+++ b/crates/connections/src/room.rs
@@ -4,8 +4,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Instant;
 
-use super::session::Unused;
-use crate::node::Limits;
+use crate::Bounds;
+use crate::Unused;
 
 /// How one goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
             Unused::Idle => &mut self.idle,
         }
     }
-    /// Notes where a connection stands now: see [`super::Session::dispensable`].
+    /// Notes where a connection stands now: see [`crate::Session::dispensable`].
     pub fn set(&mut self, number: usize, place: Option<(Unused, Instant)>) {
         let old = match place {
             Some(place) => self.places.insert(number, place),
@@ -51,14 +51,14 @@
     }
     /// Who goes now so that there is room for one more beside `open` connections: where more carry nothing than are
     /// kept, those least missed; where slots run short, the first of all.
-    pub fn make(&self, open: usize, limits: &Limits, now: Instant) -> Vec<(usize, Go)> {
+    pub fn make(&self, open: usize, bounds: &Bounds, now: Instant) -> Vec<(usize, Go)> {
         let mut go = Vec::new();
-        if open + limits.connections_spare >= limits.connections {
+        if open + bounds.spare >= bounds.connections {
             let first = self.leaving.iter().chain(&self.silent).chain(&self.idle).next();
             go.extend(first.map(|(_, number)| (*number, Go::Part)));
         }
-        let most = (self.silent.len() + self.idle.len()).saturating_sub(limits.connections_unused);
-        let mute = |used: &Instant| now.saturating_duration_since(*used) > limits.front_mute;
+        let most = (self.silent.len() + self.idle.len()).saturating_sub(bounds.unused);
+        let mute = |used: &Instant| now.saturating_duration_since(*used) > bounds.mute;
         // Closed at once, one that is used would lose what its front end sends meanwhile. A front end sends as soon
         // as it has connected, so one that has been silent for a while is none.
         let silent =
@@ -84,8 +84,7 @@
     /// and none with a request open.
     #[test]
     fn the_least_missed_go_first() {
-        let limits =
-            Limits { connections: 8, connections_spare: 2, connections_unused: 2, ..Limits::new(512) };
+        let bounds = Bounds { spare: 2, unused: 2, ..Bounds::new(8) };
         let start = Instant::now();
         let at = |ms| start + Duration::from_millis(ms);
         let mut room = Room::default();
@@ -95,19 +94,19 @@
             room.set(number, Some((kind, at(ms))));
         }
         // Two too many; one has been silent long enough to be no front end, one has only just come.
-        assert_eq!(room.make(4, &limits, at(1000)), [(3, Go::Part), (4, Go::Farewell)]);
+        assert_eq!(room.make(4, &bounds, at(1000)), [(3, Go::Part), (4, Go::Farewell)]);
         room.set(4, Some((Unused::Leaving, at(1000))));
-        assert_eq!(room.make(4, &limits, at(1000)), [(3, Go::Part)]);
+        assert_eq!(room.make(4, &bounds, at(1000)), [(3, Go::Part)]);
         // Slots run short: the one told to go is the first.
-        assert_eq!(room.make(6, &limits, at(1000)), [(4, Go::Part), (3, Go::Part)]);
+        assert_eq!(room.make(6, &bounds, at(1000)), [(4, Go::Part), (3, Go::Part)]);
         for number in [3, 4] {
             room.set(number, None);
         }
-        assert_eq!(room.make(6, &limits, at(1000)), [(2, Go::Part)]);
+        assert_eq!(room.make(6, &bounds, at(1000)), [(2, Go::Part)]);
         // A request on it: it stays.
         room.set(2, None);
-        assert_eq!(room.make(6, &limits, at(1000)), [(1, Go::Part)]);
+        assert_eq!(room.make(6, &bounds, at(1000)), [(1, Go::Part)]);
         room.set(1, None);
-        assert_eq!(room.make(6, &limits, at(1000)), []);
+        assert_eq!(room.make(6, &bounds, at(1000)), []);
     }
 }
--- a/src/net/jsonrpc/session.rs
+++ b/crates/connections/src/session.rs
@@ -4,7 +4,7 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use crate::node::Limits;
+use crate::Bounds;
 
 /// Why a peer is turned down before the core hears of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,11 +67,11 @@
 
 impl Session {
     /// A fresh connection.
-    pub fn new(limits: &Limits, now: Instant) -> Session {
+    pub fn new(bounds: &Bounds, now: Instant) -> Session {
         Session {
             open: HashSet::new(),
-            most_open: limits.open_per_connection,
-            most_line: limits.front_line,
+            most_open: bounds.open,
+            most_line: bounds.line,
             spoke: false,
             farewell: false,
             parting: false,
@@ -152,16 +152,16 @@
         !self.ended
     }
     /// Whether more may be read: not from a peer that is done with, nor from one that lets its answers pile up.
-    pub fn hears(&self, limits: &Limits) -> bool {
-        !self.closed && !self.ended && self.unsent().len() <= limits.front_output / 2
+    pub fn hears(&self, bounds: &Bounds) -> bool {
+        !self.closed && !self.ended && self.unsent().len() <= bounds.output / 2
     }
     /// Lines that it may have read in one turn: one that has more open than the protocol lets it have must not hold
     /// up those that keep to it.
-    pub fn allowance(&self, limits: &Limits) -> usize {
-        if self.open.len() > limits.front_fair {
+    pub fn allowance(&self, bounds: &Bounds) -> usize {
+        if self.open.len() > bounds.fair {
             1
         } else {
-            limits.front_lines
+            bounds.lines
         }
     }
 
@@ -224,20 +224,20 @@
     }
     /// When time will ask something of it, where nothing else happens before; `idle` is how long one that was used
     /// may carry nothing.
-    pub fn due(&self, idle: Duration, limits: &Limits) -> Option<Instant> {
+    pub fn due(&self, idle: Duration, bounds: &Bounds) -> Option<Instant> {
         let written =
-            self.stuck.map(|since| since + if self.closed { limits.farewell } else { limits.write });
+            self.stuck.map(|since| since + if self.closed { bounds.farewell } else { bounds.write });
         let patience = match () {
-            () if self.farewell => limits.farewell,
-            () if !self.spoke => limits.front_silent,
+            () if self.farewell => bounds.farewell,
+            () if !self.spoke => bounds.silent,
             () => idle,
         };
         let unused = self.dispensable().map(|(_, used)| used + patience);
         [written, unused].into_iter().flatten().min()
     }
     /// What time asks of it now.
-    pub fn on_time(&self, idle: Duration, limits: &Limits, now: Instant) -> Option<Due> {
-        self.due(idle, limits).filter(|due| *due <= now)?;
+    pub fn on_time(&self, idle: Duration, bounds: &Bounds, now: Instant) -> Option<Due> {
+        self.due(idle, bounds).filter(|due| *due <= now)?;
         Some(match () {
             () if self.stuck.is_some() => Due::Cut,
             () if self.farewell => Due::Part,
--- /dev/null
+++ b/crates/router/src/events.rs
@@ -0,0 +1,736 @@
+//! The router's loop: clients on one side, nodes on the other, one thread. Decisions are the crate `mothwinch-routing`'s
+//! and the membership's; here are sockets and timers.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use mothwinch_cells::map::{CellMap, Name};
+use mothwinch_cells::member::{Beat, Detector, Patience};
+use mothwinch_connections::{Bounds, Breach, Due, Go, Room, Session};
+use mothwinch_routing::{After, End, Refusal, Request, Route, Router, Rules, Ticket};
+use slog::{debug, info, warn, Logger};
+
+use crate::config::Config;
+use crate::message::{self, Call, Said, REFUSED};
+use crate::upstream::Upstream;
+
+const LISTENER: Token = Token(0);
+const WAKER: Token = Token(1);
+const FIRST: usize = 2;
+/// A node's life is not told by the platform's protocol: a node counts as the same until its connections break.
+const LIFE: u64 = 1;
+/// The ticket of a health check: routing numbers tickets from 1.
+const HEALTH: Ticket = 0;
+
+/// What can be seen of a router from outside its thread.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Requests taken up and not answered.
+    pub open: AtomicUsize,
+    /// Requests answered by a node's answer.
+    pub answered: AtomicUsize,
+    /// Further tries made.
+    pub again: AtomicUsize,
+    /// Requests refused by the router itself.
+    pub refused: AtomicUsize,
+    /// Requests that failed here as ones that may have run.
+    pub may_have_run: AtomicUsize,
+}
+
+/// What another thread holds of a router.
+#[derive(Clone)]
+pub struct Handle {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it counts.
+    pub counts: Arc<Counts>,
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+    waker: Arc<Waker>,
+}
+
+impl Handle {
+    /// Has the router stop listening, answer what is open, and end.
+    pub fn stop(&self) {
+        self.stop.store(true, SeqCst);
+        let _ = self.waker.wake();
+    }
+    /// Has the router read its file of cells again; one that can't be used is logged and changes nothing.
+    pub fn reload(&self) {
+        self.reload.store(true, SeqCst);
+        let _ = self.waker.wake();
+    }
+}
+
+struct Client {
+    stream: TcpStream,
+    session: Session,
+    readable: bool,
+    hung_up: bool,
+    queued: bool,
+}
+
+struct Link {
+    node: Name,
+    stream: TcpStream,
+    state: Upstream,
+    /// It is the node's health connection.
+    health: bool,
+}
+
+/// A request taken up: whose it is, and what it looks like.
+struct Open {
+    client: usize,
+    id: u64,
+    method: String,
+    params: String,
+    once: bool,
+    deadline: Instant,
+    link: Option<usize>,
+}
+
+/// A router that is not yet running.
+pub struct RouterLoop {
+    config: Config,
+    bounds: Bounds,
+    log: Logger,
+    poll: Poll,
+    listener: Option<TcpListener>,
+    accept: bool,
+    handle: Handle,
+    started: Instant,
+    map: CellMap,
+    addresses: HashMap<Name, SocketAddr>,
+    watch: Detector,
+    router: Router,
+    clients: HashMap<usize, Client>,
+    links: HashMap<usize, Link>,
+    room: Room,
+    next: usize,
+    turns: VecDeque<usize>,
+    open: HashMap<Ticket, Open>,
+    /// Deadlines of requests, by ticket.
+    timers: BinaryHeap<Reverse<(Instant, Ticket)>>,
+    beat: Instant,
+    chunk: Box<[u8]>,
+}
+
+impl RouterLoop {
+    /// Binds the listener.
+    pub fn bind(config: Config, rules: Rules, seed: u64, log: &Logger) -> io::Result<RouterLoop> {
+        let poll = Poll::new()?;
+        let mut listener = TcpListener::bind(config.listen)?;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        let handle = Handle {
+            address: listener.local_addr()?,
+            counts: Arc::default(),
+            stop: Arc::default(),
+            reload: Arc::default(),
+            waker: Arc::new(Waker::new(poll.registry(), WAKER)?),
+        };
+        let now = Instant::now();
+        let mut router = RouterLoop {
+            bounds: Bounds::new(config.clients),
+            log: log.clone(),
+            poll,
+            listener: Some(listener),
+            accept: true,
+            handle,
+            started: now,
+            map: CellMap::default(),
+            addresses: HashMap::new(),
+            watch: Detector::new(Patience::default()),
+            router: Router::new(rules, seed),
+            clients: HashMap::new(),
+            links: HashMap::new(),
+            room: Room::default(),
+            next: FIRST,
+            turns: VecDeque::new(),
+            open: HashMap::new(),
+            timers: BinaryHeap::new(),
+            beat: now,
+            chunk: vec![0; 16 * 1024].into(),
+            config,
+        };
+        let layout = router.config.layout.clone();
+        router.take_layout(&layout).map_err(|e| io::Error::other(e.to_string()))?;
+        Ok(router)
+    }
+    /// For other threads.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    fn take_layout(&mut self, layout: &mothwinch_cells::Layout) -> Result<(), mothwinch_cells::LayoutError> {
+        let (map, moves) = self.map.next(layout)?;
+        if !moves.is_empty() {
+            warn!(self.log, "tenants stay where they live until they are moved"; "tenants" => moves.len());
+        }
+        self.addresses =
+            map.cells().flat_map(|c| &c.nodes).filter_map(|n| Some((n.name.clone(), n.address?))).collect();
+        self.map = map;
+        Ok(())
+    }
+    fn reload(&mut self) {
+        let read = Config::layout(&self.config.cells).map_err(|e| e.to_string());
+        match read.and_then(|layout| self.take_layout(&layout).map_err(|e| e.to_string())) {
+            Ok(()) => info!(self.log, "cells read again"; "epoch" => self.map.epoch()),
+            Err(e) => warn!(self.log, "the new cells are not used"; "error" => e),
+        }
+    }
+
+    fn time(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started)
+    }
+
+    /// Runs until it is told to stop and all is answered.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(512);
+        loop {
+            if self.handle.stop.load(SeqCst) {
+                self.listener = None;
+                if self.open.is_empty() && self.clients.values().all(|c| c.session.unsent().is_empty()) {
+                    return Ok(());
+                }
+            }
+            if self.handle.reload.swap(false, SeqCst) {
+                self.reload();
+            }
+            match self.poll.poll(&mut events, Some(self.wait())) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            let now = Instant::now();
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept = true,
+                    WAKER => {}
+                    Token(number) if self.links.contains_key(&number) => self.link_ready(number, event, now),
+                    Token(number) => self.client_ready(number, event, now),
+                }
+            }
+            self.accept(now);
+            for _ in 0..self.turns.len() {
+                let Some(number) = self.turns.pop_front() else { break };
+                self.turn(number, now);
+            }
+            self.beats(now);
+            self.look(now);
+            self.next_waiting(now);
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        let now = Instant::now();
+        if !self.turns.is_empty() || self.accept && self.listener.is_some() {
+            return Duration::ZERO;
+        }
+        let first = self.timers.peek().map_or(self.beat, |Reverse((at, _))| self.beat.min(*at));
+        first.saturating_duration_since(now)
+    }
+
+    // ---- clients ----
+
+    fn accept(&mut self, now: Instant) {
+        for _ in 0..16 {
+            let Some(listener) = self.listener.as_ref().filter(|_| self.accept) else { return };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    if let Err(e) = self.connect_client(stream, now) {
+                        debug!(self.log, "client"; "error" => %e);
+                    }
+                }
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    self.accept = false;
+                    if e.kind() != ErrorKind::WouldBlock {
+                        warn!(self.log, "accept"; "error" => %e);
+                    }
+                }
+            }
+        }
+    }
+    fn connect_client(&mut self, mut stream: TcpStream, now: Instant) -> io::Result<()> {
+        for (number, go) in self.room.make(self.clients.len(), &self.bounds, now) {
+            match go {
+                Go::Part => self.part(number, now),
+                Go::Farewell => self.farewell(number, now),
+            }
+        }
+        if self.clients.len() >= self.bounds.connections {
+            return Err(io::Error::other("too many connections"));
+        }
+        stream.set_nodelay(true)?;
+        let number = self.number();
+        self.poll.registry().register(&mut stream, Token(number), Interest::READABLE | Interest::WRITABLE)?;
+        let session = Session::new(&self.bounds, now);
+        self.clients
+            .insert(number, Client { stream, session, readable: false, hung_up: false, queued: false });
+        self.settle(number, now);
+        Ok(())
+    }
+    fn number(&mut self) -> usize {
+        self.next += 1;
+        self.next
+    }
+    fn part(&mut self, number: usize, now: Instant) {
+        if let Some(c) = self.clients.get_mut(&number) {
+            c.session.part();
+            c.readable = true;
+            self.turn(number, now);
+        }
+    }
+    fn farewell(&mut self, number: usize, now: Instant) {
+        let Some(c) = self.clients.get_mut(&number) else { return };
+        if c.session.farewell(now) {
+            c.session.put(b"{\"jsonrpc\":\"2.0\",\"method\":\"farewell\"}\n", now);
+        }
+        self.settle(number, now);
+    }
+    fn remove_client(&mut self, number: usize) {
+        self.clients.remove(&number);
+        self.room.set(number, None);
+    }
+    fn client_ready(&mut self, number: usize, event: &mio::event::Event, now: Instant) {
+        let Some(c) = self.clients.get_mut(&number) else { return };
+        if event.is_error() {
+            return self.remove_client(number);
+        }
+        c.hung_up |= event.is_read_closed();
+        c.readable |= event.is_readable() || c.hung_up;
+        self.settle(number, now);
+    }
+
+    fn turn(&mut self, number: usize, now: Instant) {
+        let Some(c) = self.clients.get_mut(&number) else { return };
+        c.queued = false;
+        let mut lines = c.session.allowance(&self.bounds);
+        let mut has_read = false;
+        while let Some(c) = self.clients.get_mut(&number) {
+            if lines == 0 || !c.session.hears(&self.bounds) {
+                break;
+            }
+            match c.session.line() {
+                Ok(Some(line)) => {
+                    lines -= 1;
+                    let line = line.to_vec();
+                    self.serve(number, &line, now);
+                }
+                Ok(None) if !c.readable => {
+                    if c.session.drained() {
+                        return self.farewell(number, now);
+                    }
+                    break;
+                }
+                Ok(None) if has_read => break,
+                Ok(None) => {
+                    has_read = true;
+                    match c.stream.read(&mut self.chunk) {
+                        Ok(0) => c.session.end(),
+                        Ok(n) => {
+                            c.readable = n == self.chunk.len() || c.hung_up;
+                            c.session.feed(&self.chunk[..n]);
+                        }
+                        Err(e) if e.kind() == ErrorKind::WouldBlock => c.readable = false,
+                        Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                        Err(_) => return self.remove_client(number),
+                    }
+                }
+                Err(_) => self.breach(number, &message::error(None, -32600, "a line is too long", None), now),
+            }
+        }
+        self.settle(number, now);
+    }
+
+    fn breach(&mut self, number: usize, line: &str, now: Instant) {
+        if let Some(c) = self.clients.get_mut(&number) {
+            c.session.put(line.as_bytes(), now);
+            c.session.close(now);
+        }
+    }
+    fn put(&mut self, number: usize, line: &str, now: Instant) {
+        let Some(c) = self.clients.get_mut(&number) else { return };
+        c.session.put(line.as_bytes(), now);
+        if c.session.unsent().len() > self.bounds.output {
+            self.remove_client(number);
+        }
+    }
+
+    /// Writes, sees whether the client stays, and gives it a turn if there is anything to do.
+    fn settle(&mut self, number: usize, now: Instant) {
+        let Some(c) = self.clients.get_mut(&number) else { return };
+        while !c.session.unsent().is_empty() {
+            match c.stream.write(c.session.unsent()) {
+                Ok(n) => c.session.sent(n, now),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.remove_client(number),
+            }
+        }
+        if c.session.over() {
+            return self.remove_client(number);
+        }
+        self.room.set(number, c.session.dispensable());
+        if (c.readable || c.session.has_more()) && !c.queued && c.session.hears(&self.bounds) {
+            c.queued = true;
+            self.turns.push_back(number);
+        }
+    }
+
+    fn serve(&mut self, number: usize, line: &[u8], now: Instant) {
+        let Some(call) = Call::read(line) else {
+            return self.breach(
+                number,
+                &message::error(None, -32600, "not a JSON-RPC 2.0 request", None),
+                now,
+            );
+        };
+        let Some(id) = call.id.filter(|id| *id > 0) else {
+            // A notification gets no answer.
+            return;
+        };
+        let Some(c) = self.clients.get_mut(&number) else { return };
+        if call.method == "alive" {
+            c.session.touch(now);
+            let ready = self.addresses.keys().any(|node| self.watch.health(node).serves());
+            let line = format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"ready\":{ready}}}}}\n");
+            return self.put(number, &line, now);
+        }
+        let Some(class) = self.config.classes.get(call.method).copied() else {
+            return self.breach(number, &message::error(Some(id), -32601, "no such method", None), now);
+        };
+        let Some(fields) = call.fields() else {
+            return self.breach(
+                number,
+                &message::error(Some(id), -32602, "t0 is missing or not a number", None),
+                now,
+            );
+        };
+        match c.session.request(id, now) {
+            Ok(()) => {}
+            Err(Breach::IdInUse) => {
+                return self.breach(
+                    number,
+                    &message::error(None, -32600, "a request with this id is open", None),
+                    now,
+                );
+            }
+            Err(Breach::TooMany) => {
+                let line = message::error(
+                    Some(id),
+                    REFUSED,
+                    "refused: too many requests are open on this connection",
+                    None,
+                );
+                return self.put(number, &line, now);
+            }
+            Err(Breach::Closed | Breach::LineTooLong) => return,
+        }
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3;
+        let left = class.deadline.as_secs_f64() * 1e3 - (unix - fields.t0).max(0.0);
+        let left = Duration::try_from_secs_f64(left.max(0.0) / 1e3).unwrap_or_default().min(class.deadline);
+        let request = Request {
+            tenant: fields.acct.unwrap_or("").into(),
+            subject: fields.obj.map(Into::into),
+            once: class.once,
+            deadline: self.time(now) + left,
+        };
+        let open = Open {
+            client: number,
+            id,
+            method: call.method.to_string(),
+            params: call.params.map_or("{}".to_string(), |p| p.get().to_string()),
+            once: class.once,
+            deadline: now + left,
+            link: None,
+        };
+        let time = self.time(now);
+        let watch = &self.watch;
+        let (ticket, route) = self.router.arrive(request, &self.map, |n| watch.health(n).serves(), time);
+        self.timers.push(Reverse((open.deadline, ticket)));
+        self.open.insert(ticket, open);
+        self.handle.counts.open.store(self.open.len(), SeqCst);
+        self.route(ticket, route, now);
+    }
+
+    fn route(&mut self, ticket: Ticket, route: Route, now: Instant) {
+        match route {
+            Route::Send(node) => self.send(ticket, &node, now),
+            Route::Wait => {}
+            Route::Refuse(why) => {
+                let (what, backoff) = match why {
+                    Refusal::NoCell => ("refused: no cell serves this tenant", None),
+                    Refusal::NoNode(stay) => ("refused: no node of its cell is there", Some(stay)),
+                    Refusal::Full(stay) => ("refused: too many wait for its cell", Some(stay)),
+                    Refusal::TooLate => ("refused: its time is over", None),
+                };
+                self.handle.counts.refused.fetch_add(1, SeqCst);
+                self.refuse(ticket, what, backoff, now);
+            }
+        }
+    }
+    fn refuse(&mut self, ticket: Ticket, what: &str, backoff: Option<Duration>, now: Instant) {
+        let Some(open) = self.open.get(&ticket) else { return };
+        let line = message::error(Some(open.id), REFUSED, what, backoff.map(|b| b.as_millis() as u64));
+        self.answer(ticket, &line, now);
+    }
+
+    /// The one answer to a request.
+    fn answer(&mut self, ticket: Ticket, line: &str, now: Instant) {
+        let Some(open) = self.open.remove(&ticket) else { return };
+        self.handle.counts.open.store(self.open.len(), SeqCst);
+        let Some(c) = self.clients.get_mut(&open.client) else { return };
+        if c.session.answered(open.id, now) {
+            self.put(open.client, line, now);
+            self.settle(open.client, now);
+        }
+    }
+
+    // ---- nodes ----
+
+    fn send(&mut self, ticket: Ticket, node: &Name, now: Instant) {
+        let Some(link) = self.link_to(node) else { return self.ended(ticket, End::NotSent, None, None, now) };
+        let Some(open) = self.open.get_mut(&ticket) else { return };
+        open.link = Some(link);
+        let Some(l) = self.links.get_mut(&link) else { return };
+        let number = l.state.number();
+        let method = serde_json::to_string(&open.method).unwrap_or_default();
+        let line = format!(
+            "{{\"jsonrpc\":\"2.0\",\"id\":{number},\"method\":{method},\"params\":{}}}\n",
+            open.params
+        );
+        l.state.ask(number, ticket, &line);
+        self.flush(link, now);
+    }
+
+    /// The connection to this node with the least open, or a new one.
+    fn link_to(&mut self, node: &Name) -> Option<usize> {
+        let of: Vec<(usize, usize)> = self
+            .links
+            .iter()
+            .filter(|(_, l)| l.node == *node && !l.health && !l.state.leaving)
+            .map(|(number, l)| (l.state.open(), *number))
+            .collect();
+        let least = of.iter().min().copied();
+        // The protocol allows 32 on one; half of that is asked for before another is opened.
+        match least {
+            Some((open, number)) if open < 16 || (of.len() >= self.config.per_node && open < 32) => {
+                Some(number)
+            }
+            _ if of.len() < self.config.per_node => self.connect(node, false),
+            _ => None,
+        }
+    }
+    fn connect(&mut self, node: &Name, health: bool) -> Option<usize> {
+        let at = *self.addresses.get(node)?;
+        let mut stream = TcpStream::connect(at).ok()?;
+        let number = self.number();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(number), both).ok()?;
+        self.links.insert(number, Link { node: node.clone(), stream, state: Upstream::default(), health });
+        Some(number)
+    }
+
+    fn flush(&mut self, number: usize, now: Instant) {
+        let Some(l) = self.links.get_mut(&number) else { return };
+        while l.state.connected && !l.state.unsent().is_empty() {
+            match l.stream.write(l.state.unsent()) {
+                Ok(n) => l.state.sent(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.link_ended(number, now),
+            }
+        }
+    }
+
+    fn link_ready(&mut self, number: usize, event: &mio::event::Event, now: Instant) {
+        let Some(l) = self.links.get_mut(&number) else { return };
+        if event.is_error() {
+            return self.link_ended(number, now);
+        }
+        if !l.state.connected && event.is_writable() {
+            // Writable without an error: it stands, if the machine agrees.
+            if matches!(l.stream.take_error(), Ok(None)) && l.stream.peer_addr().is_ok() {
+                l.state.connected = true;
+                let _ = l.stream.set_nodelay(true);
+            } else {
+                return self.link_ended(number, now);
+            }
+        }
+        self.flush(number, now);
+        if event.is_readable() || event.is_read_closed() {
+            self.read_link(number, now);
+        }
+    }
+
+    fn read_link(&mut self, number: usize, now: Instant) {
+        loop {
+            let Some(l) = self.links.get_mut(&number) else { return };
+            match l.stream.read(&mut self.chunk) {
+                Ok(0) => return self.link_ended(number, now),
+                Ok(n) => {
+                    let Some(lines) = l.state.feed(&self.chunk[..n], self.bounds.line) else {
+                        return self.link_ended(number, now);
+                    };
+                    lines.iter().for_each(|line| self.said(number, line, now));
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.link_ended(number, now),
+            }
+        }
+    }
+
+    fn said(&mut self, number: usize, line: &[u8], now: Instant) {
+        let Some(l) = self.links.get_mut(&number) else { return };
+        let Some(said) = Said::read(line) else {
+            // What is not understood may be the answer to anything that is open here.
+            return self.link_ended(number, now);
+        };
+        if said.method == Some("farewell") {
+            l.state.leaving = true;
+        }
+        let (code, told) = said.told();
+        let Some(ticket) = said.id.and_then(|id| l.state.answered(id)) else { return };
+        if ticket == HEALTH {
+            let (node, draining) = (l.node.clone(), told.ready != Some(true));
+            let time = self.time(now);
+            if let Some(health) = self.watch.heard(&node, Beat { life: LIFE, draining, last: false }, time) {
+                info!(self.log, "node"; "node" => &*node, "health" => ?health);
+            }
+            return;
+        }
+        let end = match code {
+            None => End::Served,
+            Some(REFUSED) => End::Refused { last: told.last == Some(1) },
+            Some(_) => End::Failed,
+        };
+        let Some(id) = self.open.get(&ticket).map(|open| open.id) else {
+            // Given up at its deadline: its place is free now.
+            return self.ended(ticket, end, told.hint, None, now);
+        };
+        self.ended(ticket, end, told.hint, Some(said.under(id)), now);
+        if let Some(l) = self.links.get(&number).filter(|l| l.state.leaving && l.state.open() == 0) {
+            debug!(self.log, "left"; "node" => &*l.node);
+            self.links.remove(&number);
+        }
+    }
+
+    fn link_ended(&mut self, number: usize, now: Instant) {
+        let Some(mut link) = self.links.remove(&number) else { return };
+        for (ticket, taken) in link.state.ended() {
+            if ticket != HEALTH {
+                self.ended(ticket, if taken { End::Lost } else { End::NotSent }, None, None, now);
+            }
+        }
+    }
+
+    /// A try has ended, with the node's answer if it gave one.
+    fn ended(&mut self, ticket: Ticket, end: End, hint: Option<f64>, answer: Option<String>, now: Instant) {
+        let time = self.time(now);
+        let watch = &self.watch;
+        let after = self.router.ended(ticket, end, hint, &self.map, |n| watch.health(n).serves(), time);
+        let Some(open) = self.open.get(&ticket) else { return };
+        let id = open.id;
+        match after {
+            After::Again(node) => {
+                self.handle.counts.again.fetch_add(1, SeqCst);
+                self.send(ticket, &node, now);
+            }
+            After::Answer => {
+                self.handle.counts.answered.fetch_add(1, SeqCst);
+                let line = answer.unwrap_or_else(|| message::error(Some(id), -32000, "failed", None));
+                self.answer(ticket, &line, now);
+            }
+            After::MayHaveRun => {
+                self.handle.counts.may_have_run.fetch_add(1, SeqCst);
+                self.answer(ticket, &message::error(Some(id), -32000, "may have run", None), now);
+            }
+            After::NeverRan(stay) => {
+                self.handle.counts.refused.fetch_add(1, SeqCst);
+                self.refuse(ticket, "refused: no node could be reached", Some(stay), now);
+            }
+        }
+    }
+
+    // ---- time ----
+
+    /// A health check for each node, on a connection of its own.
+    fn beats(&mut self, now: Instant) {
+        if now < self.beat {
+            return;
+        }
+        self.beat = now + Patience::default().beat;
+        let nodes: Vec<Name> = self.addresses.keys().cloned().collect();
+        for node in nodes {
+            let link = self.links.iter().find(|(_, l)| l.health && l.node == node).map(|(number, _)| *number);
+            let Some(number) = link.or_else(|| self.connect(&node, true)) else { continue };
+            let Some(l) = self.links.get_mut(&number) else { continue };
+            if l.state.leaving {
+                self.links.remove(&number);
+            } else if l.state.open() < 4 {
+                let id = l.state.number();
+                l.state.ask(
+                    id,
+                    HEALTH,
+                    &format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"method\":\"alive\"}}\n"),
+                );
+                self.flush(number, now);
+            }
+        }
+        for (node, health) in self.watch.tick(self.time(now)) {
+            info!(self.log, "node"; "node" => &*node, "health" => ?health);
+        }
+        // Links to nodes that are gone from the map end once nothing is open on them.
+        let gone = |l: &Link| !self.addresses.contains_key(&l.node) && (l.health || l.state.open() == 0);
+        let idle: Vec<usize> =
+            self.links.iter().filter(|(_, l)| gone(l)).map(|(number, _)| *number).collect();
+        idle.into_iter().for_each(|number| self.link_ended(number, now));
+        let due: Vec<(usize, Option<Due>)> = self
+            .clients
+            .iter()
+            .map(|(number, c)| (*number, c.session.on_time(Duration::from_secs(30), &self.bounds, now)))
+            .collect();
+        for (number, due) in due {
+            match due {
+                Some(Due::Farewell) => self.farewell(number, now),
+                Some(Due::Part) => self.part(number, now),
+                Some(Due::Cut) => self.remove_client(number),
+                None => {}
+            }
+        }
+    }
+
+    /// Requests whose time is over are answered; what comes of them later frees their place and goes nowhere.
+    fn look(&mut self, now: Instant) {
+        while let Some(Reverse((_, ticket))) =
+            self.timers.peek().copied().filter(|Reverse((at, _))| *at <= now)
+        {
+            self.timers.pop();
+            let Some(open) = self.open.get(&ticket) else { continue };
+            // One that waits was never sent: next_waiting refuses it.
+            if open.link.is_some() {
+                let what = if open.once { "may have run" } else { "no answer in time" };
+                let line = message::error(Some(open.id), -32000, what, None);
+                self.answer(ticket, &line, now);
+            }
+        }
+    }
+
+    fn next_waiting(&mut self, now: Instant) {
+        loop {
+            let time = self.time(now);
+            let watch = &self.watch;
+            let next = self.router.next(&self.map, |n| watch.health(n).serves(), time);
+            let Some((ticket, route)) = next else { return };
+            self.route(ticket, route, now);
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use clap::{Parser, Subcommand};
 use crossbeam_channel::{after, bounded, select, Receiver, Sender};
 use mothwinch::amqp::Amqp;
 use mothwinch::inventory::{self, InventoryError};
@@ -15,30 +16,80 @@
 use mothwinch::net::{database, executor, membership, spawn, Address};
 use mothwinch::node::config::{Config, ConfigError};
 use mothwinch::node::{Board, Limits, Module, Msg, Peers};
+use mothwinch_cells_cli::Cells;
+use mothwinch_router::{Config as Router, ConfigError as RouterError, RouterLoop};
+use mothwinch_routing::Rules;
 use slog::{info, o, warn, Drain, Logger};
 
-const USAGE: &str = "usage: mothwinch [--inventory FILE]\n\nPROXY_CONFIG names the configuration; FILE (.yaml, .yml or .csv) the broker queues to consume from.";
+/// A billing node; with a command, what stands around one. PROXY_CONFIG names the node's configuration.
+#[derive(Parser)]
+#[command(name = "mothwinch", version, args_conflicts_with_subcommands = true)]
+struct Cli {
+    /// The broker queues to consume from, in .yaml, .yml or .csv.
+    #[arg(long, value_name = "FILE")]
+    inventory: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check, show and plan cells: which nodes serve which tenants.
+    #[command(subcommand)]
+    Cells(Cells),
+    /// Carry requests to the nodes of each tenant's cell. SIGHUP reads the file of cells again.
+    Route {
+        /// The router's file, in JSON5.
+        #[arg(value_name = "FILE", default_value = "deploy/router.json5")]
+        file: PathBuf,
+    },
+}
 
 fn main() -> ExitCode {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    let args: Vec<&str> = args.iter().map(String::as_str).collect();
-    let inventory = match args[..] {
-        [] => None,
-        ["--inventory", file] => Some(PathBuf::from(file)),
-        ["--help"] => {
-            println!("{USAGE}");
-            return ExitCode::SUCCESS;
-        }
-        _ => {
-            eprintln!("{USAGE}");
-            return ExitCode::from(2);
+    let cli = Cli::parse();
+    let done = match &cli.command {
+        None => serve(cli.inventory.as_deref()).map_err(|e| e.to_string()),
+        Some(Command::Cells(command)) => {
+            mothwinch_cells_cli::run(command).map_err(|e| e.to_string()).map(|text| {
+                print!("{text}");
+                ExitCode::SUCCESS
+            })
         }
+        Some(Command::Route { file }) => route(file).map_err(|e| e.to_string()),
     };
-    match serve(inventory.as_deref()) {
-        Ok(code) => code,
-        Err(e) => {
-            eprintln!("mothwinch: {e}");
-            ExitCode::FAILURE
+    done.unwrap_or_else(|e| {
+        eprintln!("mothwinch: {e}");
+        ExitCode::FAILURE
+    })
+}
+
+/// Runs the router until it is told to leave and all that was taken up is answered.
+fn route(file: &Path) -> Result<ExitCode, StartError> {
+    let config = Router::read(file).map_err(StartError::Router)?;
+    let system = |what| move |e| StartError::System(what, e);
+    let log = logger("router");
+    // The wait for a signal is that of any node's.
+    let limits = Limits::new(config.clients);
+    let signals = signals(&limits).map_err(system("signals"))?;
+    let seed =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_nanos()
+            as u64;
+    let router = RouterLoop::bind(config, Rules::default(), seed, &log).map_err(system("listen"))?;
+    let handle = router.handle();
+    info!(log, "listening"; "at" => %handle.address);
+    let (tell, ended) = bounded(1);
+    spawn("route", limits.module_stack, move || {
+        let _ = tell.send(router.run());
+    })
+    .map_err(system("threads"))?;
+    loop {
+        select! {
+            recv(signals.leave) -> _ => handle.stop(),
+            recv(signals.reload) -> _ => handle.reload(),
+            recv(ended) -> end => {
+                let end = end.unwrap_or_else(|_| Err(io::Error::other("the router's thread has ended")));
+                return end.map(|()| ExitCode::SUCCESS).map_err(system("poll"));
+            }
         }
     }
 }
@@ -48,6 +99,7 @@
 enum StartError {
     Config(ConfigError),
     Inventory(InventoryError),
+    Router(RouterError),
     System(&'static str, io::Error),
 }
 impl std::fmt::Display for StartError {
@@ -55,6 +107,7 @@
         match self {
             StartError::Config(e) => write!(f, "{e}"),
             StartError::Inventory(e) => write!(f, "{e}"),
+            StartError::Router(e) => write!(f, "{e}"),
             StartError::System(what, e) => write!(f, "{what}: {e}"),
         }
     }
@@ -72,7 +125,7 @@
     let env = |name: &str| std::env::var(name).ok();
     let queues = inventory.map_or(Ok(Vec::new()), |file| inventory::read(file, &config.site, &limits, env));
     let queues = queues.map_err(StartError::Inventory)?;
-    limits.connections = limits.connections.saturating_sub(queues.len());
+    limits.front.connections = limits.front.connections.saturating_sub(queues.len());
     let system = |what| move |e| StartError::System(what, e);
     let log = logger(&config.name);
     let signals = signals(&limits).map_err(system("signals"))?;
--- a/src/net/jsonrpc/events.rs
+++ b/src/net/jsonrpc/events.rs
@@ -11,10 +11,11 @@
 use crossbeam_channel::{unbounded, Receiver, Sender};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Poll, Token, Waker};
+use mothwinch_connections::{Breach, Due, Go, Room, Session};
 use slog::{debug, info, warn, Logger};
 
 use super::message::{self, Incoming};
-use super::{Breach, Counts, Due, Go, Mailbox, Out, Room, Session};
+use super::{Counts, Mailbox, Out};
 use crate::node::{Arrival, Board, Limits, Msg, Reply, Seldom};
 use crate::wire::Site;
 
@@ -158,7 +159,7 @@
 
     /// The module's mailbox has room for a turn's lines, so that handing them over never waits.
     fn module_has_room(&self) -> bool {
-        self.core.module.len() + self.limits.front_lines <= self.limits.module_mailbox / 2
+        self.core.module.len() + self.limits.front.lines <= self.limits.module_mailbox / 2
     }
 
     // ---- connections come and go ----
@@ -189,13 +190,13 @@
     }
 
     fn connect(&mut self, mut stream: TcpStream, now: Instant) -> io::Result<()> {
-        for (number, go) in self.room.make(self.connections.len(), &self.limits, now) {
+        for (number, go) in self.room.make(self.connections.len(), &self.limits.front, now) {
             match go {
                 Go::Part => self.part(number, now),
                 Go::Farewell => self.farewell(number, now),
             }
         }
-        if self.connections.len() >= self.limits.connections {
+        if self.connections.len() >= self.limits.front.connections {
             return Err(io::Error::other("too many connections"));
         }
         stream.set_nodelay(true)?;
@@ -203,7 +204,7 @@
         self.next += 1;
         // Both at once: the poll tells of changes alone, so the one that is not waited for costs nothing.
         self.poll.registry().register(&mut stream, Token(number), Interest::READABLE | Interest::WRITABLE)?;
-        let session = Session::new(&self.limits, now);
+        let session = Session::new(&self.limits.front, now);
         let connection =
             Connection { stream, session, readable: false, hung_up: false, queued: false, timer: None };
         self.connections.insert(number, connection);
@@ -258,7 +259,7 @@
     /// Gives a connection its turn if there is anything to do for it.
     fn queue(&mut self, number: usize) {
         let Some(c) = self.connections.get_mut(&number) else { return };
-        if (c.readable || c.session.has_more()) && !c.queued && c.session.hears(&self.limits) {
+        if (c.readable || c.session.has_more()) && !c.queued && c.session.hears(&self.limits.front) {
             c.queued = true;
             self.turns.push_back(number);
         }
@@ -279,10 +280,10 @@
     fn turn(&mut self, number: usize, now: Instant) {
         let Some(c) = self.connections.get_mut(&number) else { return };
         c.queued = false;
-        let mut lines = c.session.allowance(&self.limits);
+        let mut lines = c.session.allowance(&self.limits.front);
         let mut has_read = false;
         while let Some(c) = self.connections.get_mut(&number) {
-            if !c.session.hears(&self.limits) || lines == 0 {
+            if !c.session.hears(&self.limits.front) || lines == 0 {
                 break;
             }
             match c.session.line() {
@@ -401,7 +402,7 @@
         let more = c.session.unsent().len() - before;
         self.unsent += more;
         self.counts.unsent.fetch_add(usize::from(before == 0 && more > 0), SeqCst);
-        if c.session.unsent().len() > self.limits.front_output {
+        if c.session.unsent().len() > self.limits.front.output {
             self.remove(number);
         } else if self.unsent > self.limits.front_output_all {
             let most = self.connections.iter().max_by_key(|(_, c)| c.session.unsent().len());
@@ -438,7 +439,7 @@
         self.room.set(number, c.session.dispensable());
         let idle = self.core.board.idle().unwrap_or(self.limits.front_idle);
         if let Some(due) =
-            c.session.due(idle, &self.limits).filter(|due| c.timer.is_none_or(|timer| *due < timer))
+            c.session.due(idle, &self.limits.front).filter(|due| c.timer.is_none_or(|timer| *due < timer))
         {
             c.timer = Some(due);
             self.timers.push(Reverse((due, number)));
@@ -454,7 +455,7 @@
             self.timers.pop();
             let Some(c) = self.connections.get_mut(&number).filter(|c| c.timer == Some(at)) else { continue };
             c.timer = None;
-            match c.session.on_time(idle, &self.limits, now) {
+            match c.session.on_time(idle, &self.limits.front, now) {
                 Some(Due::Farewell) => self.farewell(number, now),
                 Some(Due::Part) => self.part(number, now),
                 Some(Due::Cut) => self.remove(number),
--- a/src/net/jsonrpc/mod.rs
+++ b/src/net/jsonrpc/mod.rs
@@ -1,6 +1,6 @@
 //! The platform's front: JSON-RPC 2.0, one message a line. One thread accepts, reads, frames, answers and keeps the
-//! timers of all connections, see [`events`]; a connection's states are in [`session`], and who goes when slots run
-//! short is decided in [`room`]. Two threads a connection, as the house style has it, cost a starved node all its
+//! timers of all connections, see `events`; a connection's states, and who goes when slots run short, are decided in the
+//! crate `mothwinch-connections`. Two threads a connection, as the house style has it, cost a starved node all its
 //! time in task switches: `docs/front.md` has the figures.
 //!
 //! Slots are for those that use them. A connection on which nothing sensible comes is closed soon, one that breaks the
@@ -9,8 +9,6 @@
 
 mod events;
 mod message;
-mod room;
-mod session;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -25,8 +23,6 @@
 use crate::node::{Answer, Board, Limits, Msg};
 use crate::wire::Site;
 use events::Events;
-pub use room::{Go, Room};
-pub use session::{Breach, Due, Session, Unused};
 
 /// What the front's thread is told.
 enum Out {
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -2,22 +2,13 @@
 
 use std::time::Duration;
 
+use mothwinch_connections::Bounds;
+
 /// See the module's head. Figures that the platform sets are filled in by [`Limits::new`].
 #[derive(Clone, Debug)]
 pub struct Limits {
-    /// Requests open on one front connection. A front end has 32 at most, but those that it gives up, of which it says
-    /// nothing, stay open here until their due time.
-    pub open_per_connection: usize,
-    /// Front connections. Each is one descriptor.
-    pub connections: usize,
-    /// Front connections that are kept free, by closing those that carry nothing.
-    pub connections_spare: usize,
-    /// Front connections kept that carry nothing: those used last. The rest of the table is for those at work.
-    pub connections_unused: usize,
-    /// After this long without a sensible message a connection that is in the way goes without a farewell.
-    pub front_mute: Duration,
-    /// How long a front connection may stay, up to its farewell, on which nothing sensible has come.
-    pub front_silent: Duration,
+    /// What the platform's front connections keep to.
+    pub front: Bounds,
     /// How long one may carry nothing, until the module has said.
     pub front_idle: Duration,
     /// Between looks at runs that nobody waits for.
@@ -30,22 +21,14 @@
     pub log_state: Duration,
     /// Between two log lines of a kind that any peer can cause.
     pub log_seldom: Duration,
-    /// Requests that the protocol lets be open on one front connection: one with more has a line a turn.
-    pub front_fair: usize,
-    /// Lines read from a front connection in one turn.
-    pub front_lines: usize,
     /// Connections accepted in one turn.
     pub front_accepts: usize,
     /// Readiness events taken from the poll at once.
     pub front_events: usize,
     /// While the module is this far behind, time between looks at whether it has caught up.
     pub front_hold: Duration,
-    /// Bytes that wait to be written on one front connection; nothing is read from it while half of that waits.
-    pub front_output: usize,
     /// Bytes that wait to be written on all of them.
     pub front_output_all: usize,
-    /// Bytes of one line from a front end: a body of 2 KiB in base64 and its fields, with room.
-    pub front_line: usize,
     /// Bytes of one line from the executor: 4 KiB in base64 and its fields, with room.
     pub executor_line: usize,
     /// Bytes of a database reply.
@@ -74,8 +57,6 @@
     pub report: Duration,
     /// How long the module waits for the gauges before it looks without them.
     pub meter: Duration,
-    /// After a farewell, how long an idle connection may stay open.
-    pub farewell: Duration,
     /// Between the last answer and the platform's kill.
     pub stop_margin: Duration,
     /// Between looks at what is still open while leaving.
@@ -113,27 +94,17 @@
         // Lanes, the executor, the list, the listener, standard streams and a few spare ones come off.
         let connections = sockets.saturating_sub(database_lanes + 40).clamp(8, 640);
         Limits {
-            open_per_connection: 64,
-            connections,
-            connections_spare: 24,
-            connections_unused: connections / 4 * 3,
-            front_mute: Duration::from_millis(300),
-            front_silent: Duration::from_millis(1100),
+            front: Bounds::new(connections),
             front_idle: Duration::from_secs(60),
             sweep: Duration::from_millis(200),
             stop_again: Duration::from_millis(400),
             stop_given_up: Duration::from_millis(2000),
             log_state: Duration::from_secs(10),
             log_seldom: Duration::from_secs(1),
-            front_fair: 32,
-            front_lines: 8,
             front_accepts: 16,
             front_events: 256,
             front_hold: Duration::from_millis(1),
-            // Answers to all that may be open on one, twice over.
-            front_output: 768 * 1024,
             front_output_all: 4 * 1024 * 1024,
-            front_line: 16 * 1024,
             executor_line: 32 * 1024,
             database_reply: 256 * 1024,
             module_mailbox: 4096,
@@ -148,7 +119,6 @@
             write: Duration::from_secs(10),
             report: Duration::from_millis(300),
             meter: Duration::from_millis(12),
-            farewell: Duration::from_millis(900),
             stop_margin: Duration::from_millis(120),
             drain_tick: Duration::from_millis(5),
             once_keys: 500_000,
