--- a/crates/router/tests/router.rs
+++ b/crates/router/tests/router.rs
@@ -36,6 +36,7 @@
         let (name, kept) = (name.to_string(), seen.clone());
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
+                stream.set_nodelay(true).expect("an option");
                 let (name, kept) = (name.clone(), kept.clone());
                 thread::spawn(move || Node::serve(&stream, &name, &kept));
             }
@@ -49,7 +50,7 @@
             let id = &call["id"];
             if call["method"] == "alive" {
                 let answer = json!({"jsonrpc": "2.0", "id": id, "result": {"ready": true}});
-                let _ = writeln!(to, "{answer}");
+                let _ = to.write_all(format!("{answer}\n").as_bytes());
                 continue;
             }
             kept.lock().expect("kept").push(call.clone());
@@ -70,7 +71,7 @@
             };
             let mut answer = answer;
             (answer["jsonrpc"], answer["id"]) = (json!("2.0"), id.clone());
-            let _ = writeln!(to, "{answer}");
+            let _ = to.write_all(format!("{answer}\n").as_bytes());
         }
     }
     fn seen(&self) -> Vec<Value> {
@@ -131,6 +132,7 @@
     }
     fn front(&self) -> Front {
         let stream = TcpStream::connect(self.router.address).expect("the router listens");
+        stream.set_nodelay(true).expect("an option");
         stream.set_read_timeout(Some(Duration::from_secs(20))).expect("an option");
         Front { from: BufReader::new(stream.try_clone().expect("a connection")), stream, next: 0 }
     }
@@ -168,7 +170,7 @@
         let params = json!({"rid": format!("{:016x}", self.next), "t0": t0, "peer": 4, "acct": tenant, "mem": 24.5,
                             "prio": 0.5, "body": body});
         let line = json!({"jsonrpc": "2.0", "id": self.next, "method": class, "params": params});
-        writeln!(self.stream, "{line}").expect("written");
+        self.stream.write_all(format!("{line}\n").as_bytes()).expect("written");
         self.next
     }
     fn next(&mut self) -> Value {
