The node refuses tenants of other cells, by a file of cells and with the epoch it knows

SIGHUP reads the file again, and a broken one leaves the last good one in force. Nobody moves by a file. Without the option nothing changes. Measured: a test with the program: refused with epoch 1, nothing run, before and after a broken and a good reload; served after a restart with the good one.

--- a/src/amqp/connection.rs
+++ b/src/amqp/connection.rs
@@ -333,6 +333,7 @@
             rid,
             class: queue.class,
             tenant: queue.tenant.as_deref().map(|name| self.shared.site.tenant(name)),
+            named: queue.tenant.as_deref().map(|name| (name.into(), None)),
             at: unix_now(),
             caller: CallerId(FIRST_CALLER + (self.number << 16) + at as u64),
             resent: delivery.redelivered,
--- a/src/amqp/consumer.rs
+++ b/src/amqp/consumer.rs
@@ -340,8 +340,10 @@
                 None => ("failed", Vec::new(), Some(Failure::Internal.word()), false),
             },
             // It never ran and we are leaving: another consumer may have it.
-            Outcome::Refused { .. } if self.leaving => return self.hand_back(tag, out),
-            Outcome::Refused { .. } => ("refused", Vec::new(), None, false),
+            Outcome::Refused { .. } | Outcome::Elsewhere { .. } if self.leaving => {
+                return self.hand_back(tag, out)
+            }
+            Outcome::Refused { .. } | Outcome::Elsewhere { .. } => ("refused", Vec::new(), None, false),
             Outcome::Failed(why) => ("failed", Vec::new(), Some(why.word()), *why == Failure::MayHaveRun),
         };
         let Some(reply_to) = reply_to else {
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,8 @@
 use mothwinch::net::jsonrpc::Front;
 use mothwinch::net::{database, executor, membership, spawn, Address};
 use mothwinch::node::config::{Config, ConfigError};
-use mothwinch::node::{Board, Limits, Module, Msg, Peers};
+use mothwinch::node::confinement::CellsError;
+use mothwinch::node::{Board, Confinement, Limits, Module, Msg, Peers};
 use mothwinch_cells_cli::Cells;
 use mothwinch_router::{Config as Router, ConfigError as RouterError, RouterLoop};
 use mothwinch_routing::Rules;
@@ -28,6 +29,9 @@
     /// The broker queues to consume from, in .yaml, .yml or .csv.
     #[arg(long, value_name = "FILE")]
     inventory: Option<PathBuf>,
+    /// The file of cells, in JSON5: the node refuses tenants of other cells. SIGHUP reads it again.
+    #[arg(long, value_name = "FILE")]
+    cells: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -48,7 +52,7 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match &cli.command {
-        None => serve(cli.inventory.as_deref()).map_err(|e| e.to_string()),
+        None => serve(cli.inventory.as_deref(), cli.cells.as_deref()).map_err(|e| e.to_string()),
         Some(Command::Cells(command)) => {
             mothwinch_cells_cli::run(command).map_err(|e| e.to_string()).map(|text| {
                 print!("{text}");
@@ -99,6 +103,7 @@
 enum StartError {
     Config(ConfigError),
     Inventory(InventoryError),
+    Cells(CellsError),
     Router(RouterError),
     System(&'static str, io::Error),
 }
@@ -107,6 +112,7 @@
         match self {
             StartError::Config(e) => write!(f, "{e}"),
             StartError::Inventory(e) => write!(f, "{e}"),
+            StartError::Cells(e) => write!(f, "{e}"),
             StartError::Router(e) => write!(f, "{e}"),
             StartError::System(what, e) => write!(f, "{what}: {e}"),
         }
@@ -119,12 +125,14 @@
     Logger::root(drain, o!("node" => name.to_string()))
 }
 
-fn serve(inventory: Option<&Path>) -> Result<ExitCode, StartError> {
+fn serve(inventory: Option<&Path>, cells: Option<&Path>) -> Result<ExitCode, StartError> {
     let config = Config::from_env().map_err(StartError::Config)?;
     let mut limits = Limits::new(config.sockets);
     let env = |name: &str| std::env::var(name).ok();
     let queues = inventory.map_or(Ok(Vec::new()), |file| inventory::read(file, &config.site, &limits, env));
     let queues = queues.map_err(StartError::Inventory)?;
+    let cells =
+        cells.map(|file| Confinement::read(file, &config.name)).transpose().map_err(StartError::Cells)?;
     limits.front.connections = limits.front.connections.saturating_sub(queues.len());
     let system = |what| move |e| StartError::System(what, e);
     let log = logger(&config.name);
@@ -142,7 +150,13 @@
     let site = Arc::new(config.site);
     let peers = Peers { executor: to_executor, database: to_database };
     let told = (site.clone(), config.seed, config.stop);
-    let actor = Module::new(told, limits.clone(), peers, board.clone(), log.new(o!("actor" => "module")));
+    let actor = Module::new(
+        told,
+        limits.clone(),
+        peers,
+        (board.clone(), cells.clone()),
+        log.new(o!("actor" => "module")),
+    );
     // Dropped when the module's thread ends, however it ends: without it the node is of no use.
     let (alive, ended) = bounded::<()>(0);
     spawn("module", limits.module_stack, move || {
@@ -173,6 +187,7 @@
     info!(log, "listening"; "at" => %front.address());
 
     let mut peers = Moves {
+        cells,
         executor: (config.executor, to_moves),
         database,
         list: (config.members, to_list.clone()),
@@ -216,6 +231,7 @@
 
 /// Where the peers are, and who must hear when they move.
 struct Moves {
+    cells: Option<Confinement>,
     executor: (SocketAddr, Sender<SocketAddr>),
     database: Arc<Address>,
     list: (SocketAddr, Sender<membership::Report>),
@@ -225,6 +241,11 @@
 impl Moves {
     /// Reads the configuration again and hands new addresses on. One that can't be used changes nothing.
     fn reload(&mut self, name: &str, listen: SocketAddr) {
+        match self.cells.as_ref().map(Confinement::reload) {
+            Some(Ok(epoch)) => info!(self.log, "cells read again"; "epoch" => epoch),
+            Some(Err(e)) => warn!(self.log, "the new cells are not used"; "error" => %e),
+            None => {}
+        }
         let config = match Config::from_env() {
             Ok(config) => config,
             Err(e) => return warn!(self.log, "the new configuration is not used"; "error" => %e),
--- a/src/net/jsonrpc/message.rs
+++ b/src/net/jsonrpc/message.rs
@@ -50,11 +50,13 @@
 impl Params {
     /// The request for the core, or nothing where a field is out of its range.
     pub fn arrival(self, class: ClassId, site: &Site, reply: Reply) -> Arrival {
+        let acct = self.acct.filter(|name| !name.is_empty());
         Arrival {
             // Both are checked as the line is read.
             rid: Rid::parse(&self.rid).unwrap_or(Rid::from_number(0)),
             class,
-            tenant: self.acct.filter(|name| !name.is_empty()).map(|name| site.tenant(&name)),
+            tenant: acct.as_deref().map(|name| site.tenant(name)),
+            named: acct.map(|name| (name.into(), self.obj.map(Into::into))),
             at: Time((self.t0 * 1e3) as i64),
             caller: CallerId(self.peer),
             resent: self.again == Some(1),
@@ -155,6 +157,8 @@
     last: Option<u8>,
     #[serde(skip_serializing_if = "Option::is_none")]
     hint: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    epoch: Option<u64>,
 }
 
 fn write(id: u64, result: Option<Served<'_>>, error: Option<Fault>) -> String {
@@ -173,9 +177,17 @@
         }
         Outcome::Refused { stay_away, give_up } => {
             let backoff = Some(stay_away.ms().ceil() as u64).filter(|ms| *ms > 0);
-            let data = Data { backoff, last: give_up.then_some(1), hint };
+            let data = Data { backoff, last: give_up.then_some(1), hint, epoch: None };
             write(id, None, Some(Fault { code: REFUSED, message: "refused: never ran here", data }))
         }
+        Outcome::Elsewhere { epoch } => {
+            let data = Data { hint, epoch: Some(*epoch), ..Data::default() };
+            write(
+                id,
+                None,
+                Some(Fault { code: REFUSED, message: "refused: its tenant is in another cell", data }),
+            )
+        }
         Outcome::Failed(why) => {
             let data = Data { hint, ..Data::default() };
             write(id, None, Some(Fault { code: FAILED, message: why.word(), data }))
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 mod book;
 pub mod config;
+pub mod confinement;
 pub mod limits;
 mod module;
 mod request;
@@ -14,6 +15,7 @@
 use crossbeam_channel::Sender;
 
 use crate::interface::{RequestId, Time};
+pub use confinement::Confinement;
 pub use limits::Limits;
 pub use module::Module;
 pub use request::{Answer, Arrival, Body, Failure, Outcome, Reply, Rid};
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -13,7 +13,9 @@
 
 use super::book::{Book, Entry, Stage};
 use super::request::{Answer, Arrival, Failure, Outcome, Rid};
-use super::{unix_now, Board, Call, CallResult, Limits, Msg, Peers, RunExit, Seldom, ToExecutor};
+use super::{
+    unix_now, Board, Call, CallResult, Confinement, Limits, Msg, Peers, RunExit, Seldom, ToExecutor,
+};
 use crate::interface::*;
 use crate::logic::Policy;
 use crate::wire::Site;
@@ -32,6 +34,8 @@
     limits: Limits,
     peers: Peers,
     board: Arc<Board>,
+    /// Where cells are in force: whose requests are this node's.
+    cells: Option<Confinement>,
     log: Logger,
     policy: Option<Policy>,
     book: Book,
@@ -68,7 +72,7 @@
         (site, seed, stop): (Arc<Site>, u64, Duration),
         limits: Limits,
         peers: Peers,
-        board: Arc<Board>,
+        (board, cells): (Arc<Board>, Option<Confinement>),
         log: Logger,
     ) -> Module {
         let book = Book::new(limits.once_keys);
@@ -82,6 +86,7 @@
             limits,
             peers,
             board,
+            cells,
             log,
             policy: None,
             book,
@@ -271,6 +276,12 @@
         if (once && a.may_have_run) || (repeats && a.unwanted) {
             return reply.give(Answer { outcome: Outcome::Failed(Failure::MayHaveRun), hint });
         }
+        let named = a.named.filter(|_| !repeats);
+        if let Some((cells, (tenant, subject))) = self.cells.as_ref().zip(named) {
+            if let Some(epoch) = cells.elsewhere(&tenant, subject.as_deref()) {
+                return reply.give(Answer { outcome: Outcome::Elsewhere { epoch }, hint });
+            }
+        }
         let no_room = key.is_some() && !repeats && self.book.keys.full();
         if self.policy.is_none() || no_room || a.unwanted {
             let stay_away = self.site.settings.max_retry_after;
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -95,6 +95,11 @@
         /// Whether it should try no other node.
         give_up: bool,
     },
+    /// It never ran: its tenant belongs to another cell.
+    Elsewhere {
+        /// As of this epoch of the cells.
+        epoch: u64,
+    },
     /// It failed; it may have had its effect.
     Failed(Failure),
 }
@@ -140,6 +145,8 @@
     pub class: ClassId,
     /// Its tenant, where one is named.
     pub tenant: Option<TenantId>,
+    /// The tenant's name and what the request is about, for the cells.
+    pub named: Option<(Box<str>, Option<Box<str>>)>,
     /// When it came to the machine.
     pub at: Time,
     /// Who sent it.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -478,3 +478,35 @@
     println!("{before} kB after 400 connections, {after} kB after 2,400");
     assert!(after < before + 500, "{before} kB after 400 connections, {after} kB after 2,400");
 }
+
+/// Guards the cells: a tenant of another cell is refused before anything runs, with the epoch that the node knows; a
+/// broken file at reload changes nothing, and a good one does.
+#[test]
+fn a_tenant_of_another_cell_is_refused_with_the_epoch() {
+    let cells = |home: &str| {
+        format!(
+            "{{ version: 1, slack: 2, cells: {{ a: {{}}, b: {{}} }}, tenants: {{ alpenergia: {{ cell: '{home}' }} }},
+               nodes: {{ n3: {{ site: 'x', cell: 'a' }}, n4: {{ site: 'y', cell: 'b' }} }} }}"
+        )
+    };
+    let file = Scratch::new("cells.json5", &cells("b"));
+    let node = Node::start_as(None, Some(&file), |_| {});
+    let mut front = node.front();
+    let answer = front.ask(POST, "serve:elsewhere");
+    assert_eq!((code(&answer), &answer["error"]["data"]["epoch"]), (REFUSED, &json!(1)));
+    assert_eq!(node.executor.runs("serve:elsewhere"), 0);
+    let config = config(node.executor.address, node.database.address, node.list.address);
+    std::fs::write(&file.0, &cells("a")[..60]).expect("a file");
+    node.reload(&config.to_string());
+    until("the broken file is told", || node.log().contains("the new cells are not used"));
+    assert_eq!(code(&front.ask(POST, "serve:elsewhere")), REFUSED);
+    // Nobody moves by a file: the tenant lives in b until a move is committed.
+    std::fs::write(&file.0, cells("a")).expect("a file");
+    node.reload(&config.to_string());
+    until("the good one is in force", || node.log().contains("cells read again"));
+    assert_eq!(code(&front.ask(POST, "serve:elsewhere")), REFUSED);
+    assert_eq!(node.executor.runs("serve:elsewhere"), 0);
+    // Started anew with it, the node serves the tenant.
+    let node = Node::start_as(None, Some(&file), |_| {});
+    assert_eq!(body(&node.front().ask(POST, "serve")), "done serve");
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -425,6 +425,15 @@
 
     /// The same with an inventory, and a configuration that differs.
     pub fn start_with(inventory: Option<&Scratch>, change: impl FnOnce(&mut Value)) -> Node {
+        Node::start_as(inventory, None, change)
+    }
+
+    /// The same with a file of cells beside.
+    pub fn start_as(
+        inventory: Option<&Scratch>,
+        cells: Option<&Scratch>,
+        change: impl FnOnce(&mut Value),
+    ) -> Node {
         let (executor, database, list) = (Executor::start(), Database::start(), List::start());
         let mut config = config(executor.address, database.address, list.address);
         change(&mut config);
@@ -433,6 +442,9 @@
         if let Some(inventory) = inventory {
             command.arg("--inventory").arg(&inventory.0).env("TEST_AMQP_PASSWORD", "guest");
         }
+        if let Some(cells) = cells {
+            command.arg("--cells").arg(&cells.0);
+        }
         let mut process = command.spawn().expect("the program starts");
         let log = Arc::new(Mutex::new(String::new()));
         let (shared, stderr) = (log.clone(), process.stderr.take().expect("a log"));
