Router: one that waits in the middle of the line is answered at its own deadline

Cause: found on reading the change once more. A waiting request was looked at only when it stood first in its cell's line, so behind one with more time it was answered after its deadline (look in crates/router/src/events.rs). Change: routing's give_up takes a request out of the line wherever it stands; the router calls it at the deadline and refuses the request, which never ran. The node is untouched.

--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -715,7 +715,11 @@
         {
             self.timers.pop();
             let Some(open) = self.open.get(&ticket) else { continue };
-            // One that waits was never sent: next_waiting refuses it.
+            // One that waits was never sent, and others before it in the line may have longer than it has.
+            if self.router.give_up(ticket) {
+                self.route(ticket, Route::Refuse(Refusal::TooLate), now);
+                continue;
+            }
             if open.link.is_some() {
                 let what = if open.once { "may have run" } else { "no answer in time" };
                 let line = message::error(Some(open.id), -32000, what, None);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -271,6 +271,20 @@
         After::Again(node)
     }
 
+    /// A request that waits is given up: its time is over, wherever in the line it stands. False where it does not wait.
+    pub fn give_up(&mut self, ticket: Ticket) -> bool {
+        let Some(cell) =
+            self.open.get(&ticket).filter(|open| open.at.is_none()).map(|open| open.cell.clone())
+        else {
+            return false;
+        };
+        self.open.remove(&ticket);
+        if let Some(line) = self.waiting.get_mut(&cell) {
+            line.retain(|waits| *waits != ticket);
+        }
+        true
+    }
+
     /// The next of those that wait and what becomes of it, as long as there is a place or one whose time is over.
     pub fn next(
         &mut self,
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -163,6 +163,23 @@
     assert_eq!(router.next(&map, all, ms(600)), None);
 }
 
+/// Guards the deadline of one that waits behind others that have more time: it is answered at its own.
+#[test]
+fn one_in_the_middle_of_the_line_can_be_given_up() {
+    let (map, mut router) = (map(), router(|r| (r.per_node, r.waiting) = (1, 2)));
+    let at: Vec<Ticket> = (0..3).map(|_| router.arrive(read("alpenergia"), &map, all, ms(0)).0).collect();
+    let waits: Vec<Ticket> = (0..2).map(|_| router.arrive(read("alpenergia"), &map, all, ms(0)).0).collect();
+    assert!(router.give_up(waits[1]) && !router.give_up(waits[1]) && !router.give_up(at[0]));
+    assert_eq!(router.open(), 4);
+    // Its place in the line is free, and the order of the others stands.
+    let (last, route) = router.arrive(read("alpenergia"), &map, all, ms(0));
+    assert_eq!(route, Route::Wait);
+    for (done, next) in at.iter().zip([waits[0], last]) {
+        router.ended(*done, End::Served, None, &map, all, ms(1));
+        assert_eq!(router.next(&map, all, ms(1)).map(|(ticket, _)| ticket), Some(next));
+    }
+}
+
 /// Guards against a node that breaks what it gets: it is left out, probed with what may be repeated, and comes back by
 /// degrees; and when most of a cell is so, nobody is an outlier.
 #[test]
