A door for operators, quiesce and resume, and two processes at one address

The second process ended at TcpListener::bind in main.rs: address in use; and nothing listened at admin. Ruled out: the module (upgrade and drain never reached it) and limits (2 of 48 MB, 33 of 512 descriptors).

Change: crates/service has the states of a process and the calls at the door, without I/O; net/door.rs is the door, one thread with a bounded table; the board holds the one state that health, list, fronts and door read. Where there is a door the address is shared by SO_REUSEPORT and listens only once the executor is up. The front's listener empties its accept queue before it closes.

--- a/src/amqp/connection.rs
+++ b/src/amqp/connection.rs
@@ -93,7 +93,7 @@
         let mut backoff = Backoff::new(limits.reconnect, limits.amqp_reconnect_most);
         while !self.leaving() {
             // Nothing is taken from a broker before there is someone to serve it.
-            if !self.shared.board.serving() {
+            if !self.shared.board.state().consumes() {
                 self.pause(limits.reconnect);
                 continue;
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,14 +13,16 @@
 use mothwinch::amqp::Amqp;
 use mothwinch::inventory::{self, InventoryError};
 use mothwinch::net::jsonrpc::Front;
-use mothwinch::net::{database, executor, membership, spawn, Address};
+use mothwinch::net::{database, door, executor, membership, spawn, take_address, Address};
 use mothwinch::node::config::{Config, ConfigError};
 use mothwinch::node::confinement::CellsError;
 use mothwinch::node::{Board, Confinement, Limits, Module, Msg, Peers};
 use mothwinch_cells_cli::Cells;
 use mothwinch_router::{Config as Router, ConfigError as RouterError, RouterLoop};
 use mothwinch_routing::Rules;
+use mothwinch_service::Step;
 use slog::{info, o, warn, Drain, Logger};
+use socket2::Socket;
 
 /// A billing node; with a command, what stands around one. PROXY_CONFIG names the node's configuration.
 #[derive(Parser)]
@@ -137,7 +139,8 @@
     let system = |what| move |e| StartError::System(what, e);
     let log = logger(&config.name);
     let signals = signals(&limits).map_err(system("signals"))?;
-    let listener = TcpListener::bind(config.listen).map_err(system("listen"))?;
+    let clients = take_address(config.listen, config.door.is_some()).map_err(system("listen"))?;
+    let door = config.door.map(TcpListener::bind).transpose().map_err(system("door"))?;
 
     let board = Arc::new(Board::default());
     let (module, inbox) = bounded(limits.module_mailbox);
@@ -182,9 +185,28 @@
     let amqp_log = log.new(o!("actor" => "amqp"));
     let amqp = Amqp::start(queues, (site.clone(), config.seed), &limits, &board, &module, &amqp_log)
         .map_err(system("threads"))?;
-    let front =
-        Front::start(listener, site, &limits, &board, &module, &front_log).map_err(system("threads"))?;
-    info!(log, "listening"; "at" => %front.address());
+    let front = Front::start(site, &limits, &board, &module, &front_log).map_err(system("threads"))?;
+    let (to_main, changed) = bounded(1);
+    if let Some(listener) = door {
+        let door_log = log.new(o!("actor" => "door"));
+        let at =
+            door::start(listener, &board, to_main.clone(), &limits, &door_log).map_err(system("door"))?;
+        info!(log, "door"; "at" => %at);
+    }
+    let listen = |clients: Socket| -> io::Result<()> {
+        clients.listen(limits.backlog)?;
+        let listener = TcpListener::from(clients);
+        info!(log, "listening"; "at" => %listener.local_addr()?);
+        front.listen(listener);
+        Ok(())
+    };
+    // Where another process may serve at this address, clients must not come here before they can be served.
+    let mut clients = Some(clients);
+    if config.door.is_none() {
+        if let Some(clients) = clients.take() {
+            listen(clients).map_err(system("listen"))?;
+        }
+    }
 
     let mut peers = Moves {
         cells,
@@ -197,13 +219,23 @@
         select! {
             recv(signals.leave) -> _ => break,
             recv(signals.reload) -> _ => peers.reload(&config.name, config.listen),
+            recv(board.up()) -> _ => {
+                if let Some(clients) = clients.take() {
+                    listen(clients).map_err(system("listen"))?;
+                }
+                let _ = board.step(Step::Taking);
+                let _ = to_list.try_send(membership::Report::Changed);
+            }
+            recv(changed) -> _ => {
+                let _ = to_list.try_send(membership::Report::Changed);
+            }
             recv(ended) -> _ => return Ok(ExitCode::FAILURE),
         }
     }
     let told = Instant::now();
-    board.leave();
+    let _ = board.step(Step::Leave { replaced: false });
     let _ = module.send(Msg::Drain);
-    let _ = to_list.send(membership::Report::Out);
+    let _ = to_list.try_send(membership::Report::Changed);
     front.farewell();
     amqp.leave();
     let stop = config.stop.saturating_sub(limits.stop_margin / 4);
--- a/src/net/jsonrpc/events.rs
+++ b/src/net/jsonrpc/events.rs
@@ -51,7 +51,7 @@
     limits: Limits,
     log: Logger,
     poll: Poll,
-    /// None once the node takes no more.
+    /// None before the node takes clients, and once it takes no more.
     listener: Option<TcpListener>,
     /// Connections may wait to be accepted, but not before the time given.
     acceptable: Option<Instant>,
@@ -72,17 +72,9 @@
 }
 
 impl Events {
-    /// A loop over this listener, not yet running.
-    pub fn new(
-        listener: std::net::TcpListener,
-        core: Core,
-        limits: &Limits,
-        log: &Logger,
-    ) -> io::Result<Events> {
-        listener.set_nonblocking(true)?;
-        let mut listener = TcpListener::from_std(listener);
+    /// A loop that listens nowhere and does not run yet.
+    pub fn new(core: Core, limits: &Limits, log: &Logger) -> io::Result<Events> {
         let poll = Poll::new()?;
-        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let (sender, inbox) = unbounded();
         let waker = Waker::new(poll.registry(), MAILBOX)?;
         Ok(Events {
@@ -90,7 +82,7 @@
             limits: limits.clone(),
             log: log.clone(),
             poll,
-            listener: Some(listener),
+            listener: None,
             acceptable: None,
             mailbox: Arc::new(Mailbox { sender, waker, woken: false.into() }),
             inbox,
@@ -164,6 +156,30 @@
 
     // ---- connections come and go ----
 
+    fn listen(&mut self, listener: std::net::TcpListener, now: Instant) -> io::Result<()> {
+        listener.set_nonblocking(true)?;
+        let mut listener = TcpListener::from_std(listener);
+        self.poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        self.listener = Some(listener);
+        // Some may wait already, and the poll tells of changes alone.
+        self.acceptable = Some(now);
+        Ok(())
+    }
+
+    /// The machine has taken in for us who waits at the listener: closed with them, it would reset them. The closing
+    /// comes right behind the last look, so that hardly anyone fits between.
+    fn stop_listening(&mut self, now: Instant) {
+        self.acceptable = Some(now);
+        // Bounded, as a crowd that comes faster than it is taken in must not hold the loop.
+        for _ in 0..self.limits.front_last_accepts {
+            if self.acceptable.is_none_or(|at| at > now) {
+                break;
+            }
+            self.accept(now);
+        }
+        self.listener = None;
+    }
+
     fn accept(&mut self, now: Instant) {
         for _ in 0..self.limits.front_accepts {
             let Some(listener) =
@@ -383,7 +399,13 @@
                     let all: Vec<usize> = self.connections.keys().copied().collect();
                     all.into_iter().for_each(|number| self.farewell(number, now));
                 }
-                Out::Close => self.listener = None,
+                Out::Open(listener) => {
+                    if let Err(e) = self.listen(listener, now) {
+                        // Nothing that a peer does leads here.
+                        warn!(self.log, "listen"; "error" => %e);
+                    }
+                }
+                Out::Close => self.stop_listening(now),
             }
         }
         for &number in &written {
@@ -483,7 +505,8 @@
         let at = listener.local_addr().expect("bound");
         let core = Core { site, board: Arc::default(), module };
         let limits = Limits::new(512);
-        let mut front = Events::new(listener, core, &limits, &Logger::root(Discard, o!())).expect("a front");
+        let mut front = Events::new(core, &limits, &Logger::root(Discard, o!())).expect("a front");
+        front.listen(listener, Instant::now()).expect("it listens");
         let mut events = mio::Events::with_capacity(4);
         let mut peer = std::net::TcpStream::connect(at).expect("loopback");
         front.step(&mut events, Some(limits.write)).expect("a step");
--- a/src/net/jsonrpc/mod.rs
+++ b/src/net/jsonrpc/mod.rs
@@ -11,7 +11,7 @@
 mod message;
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::Arc;
 
@@ -30,7 +30,9 @@
     Answer(usize, u64, Answer),
     /// Say farewell on each connection.
     Farewell,
-    /// Stop listening.
+    /// Listen here.
+    Open(TcpListener),
+    /// Take what waits to be accepted, and stop listening.
     Close,
 }
 
@@ -69,32 +71,29 @@
 
 /// The front, as the node's main thread knows it.
 pub struct Front {
-    address: SocketAddr,
     mailbox: Arc<Mailbox>,
     counts: Arc<Counts>,
 }
 
 impl Front {
-    /// Starts to accept connections.
+    /// Starts the front's thread; it takes nobody in before [`Front::listen`].
     pub fn start(
-        listener: TcpListener,
         site: Arc<Site>,
         limits: &Limits,
         board: &Arc<Board>,
         module: &Sender<Msg>,
         log: &Logger,
     ) -> io::Result<Front> {
-        let address = listener.local_addr()?;
         let core = events::Core { site, board: board.clone(), module: module.clone() };
-        let events = Events::new(listener, core, limits, log)?;
+        let events = Events::new(core, limits, log)?;
         let (mailbox, counts) = (events.mailbox(), events.counts());
         spawn("front", limits.stack, move || events.run())?;
-        Ok(Front { address, mailbox, counts })
+        Ok(Front { mailbox, counts })
     }
 
-    /// Where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+    /// Accepts connections here.
+    pub fn listen(&self, listener: TcpListener) {
+        self.mailbox.tell(Out::Open(listener));
     }
     /// Requests read and not yet answered on the wire, and connections with something left to write.
     pub fn open(&self) -> usize {
@@ -108,7 +107,7 @@
     pub fn farewell(&self) {
         self.mailbox.tell(Out::Farewell);
     }
-    /// Stops listening.
+    /// Takes in those that wait to be accepted, and stops listening.
     pub fn close(&self) {
         self.mailbox.tell(Out::Close);
     }
--- a/src/net/membership.rs
+++ b/src/net/membership.rs
@@ -5,19 +5,22 @@
 use std::sync::Arc;
 
 use crossbeam_channel::{after, select, Receiver};
+use mothwinch_service as service;
 use slog::{warn, Logger};
 
 use crate::node::{Board, Limits};
 
 /// What the list's actor is told.
 pub enum Report {
-    /// Leave the list.
-    Out,
+    /// The state has changed: what it asks for is not to wait for the next turn.
+    Changed,
     /// The service is here now.
     To(SocketAddr),
 }
 
-/// Reports until its mailbox is gone: `UP` from the executor's start on, `OUT` from the notice to leave on.
+/// Reports until its mailbox is gone, what the state of the process asks for: see [`State::report`].
+///
+/// [`State::report`]: mothwinch_service::State::report
 pub fn run(
     mut to: SocketAddr,
     name: &str,
@@ -30,19 +33,23 @@
         Ok(socket) => socket,
         Err(e) => return warn!(log, "no socket for the list"; "error" => %e),
     };
-    let mut state = "UP";
     loop {
-        if board.serving() {
+        let word = match board.state().report() {
+            service::Report::Nothing => None,
+            service::Report::Up => Some("UP"),
+            service::Report::Out => Some("OUT"),
+        };
+        if let Some(word) = word {
             // No answer comes, and a lost report is made good by the next one.
-            if let Err(e) = socket.send_to(format!("HB {name} {state}").as_bytes(), to) {
+            if let Err(e) = socket.send_to(format!("HB {name} {word}").as_bytes(), to) {
                 warn!(log, "report not sent"; "error" => %e);
             }
         }
         // Until the executor is up there is nothing to report, but the first report should not wait long.
-        let pause = if board.serving() { limits.report } else { limits.report / 20 };
+        let pause = if word.is_some() { limits.report } else { limits.report / 20 };
         select! {
             recv(inbox) -> msg => match msg {
-                Ok(Report::Out) => state = "OUT",
+                Ok(Report::Changed) => {}
                 Ok(Report::To(moved)) => {
                     to = moved;
                     match bind(to) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's wires, on std::net with small-stack threads: an actor for each peer.
 
 pub mod database;
+pub mod door;
 pub mod executor;
 pub mod jsonrpc;
 pub mod membership;
@@ -11,6 +12,8 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::{Domain, Protocol, Socket, Type};
+
 /// Starts a named thread with a small stack.
 pub fn spawn(name: &str, stack: usize, body: impl FnOnce() + Send + 'static) -> io::Result<()> {
     thread::Builder::new().name(name.into()).stack_size(stack).spawn(body).map(drop)
@@ -34,6 +37,19 @@
     }
 }
 
+/// Takes an address for clients, without listening yet: one that can't be had is known at the start. Where there is a
+/// door the platform may start a second process beside this one, so the address is shared with it.
+pub fn take_address(at: SocketAddr, shared: bool) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+    // As std does: what a process before this one has left in TIME_WAIT must not keep this one out.
+    socket.set_reuse_address(true)?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
+    socket.bind(&at.into())?;
+    Ok(socket)
+}
+
 /// Lines of bounded length from a stream.
 pub struct Lines<R> {
     from: BufReader<R>,
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -45,6 +45,7 @@
     executor: SocketAddr,
     members: SocketAddr,
     db: SocketAddr,
+    admin: Option<SocketAddr>,
     seed: String,
     stop_ms: f64,
     #[serde(default)]
@@ -74,6 +75,8 @@
     pub members: SocketAddr,
     /// The database's address.
     pub database: SocketAddr,
+    /// Where the operators' door listens, if there is one.
+    pub door: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Time from the notice to leave to the kill.
@@ -88,9 +91,16 @@
     /// Reads the file that `PROXY_CONFIG` names.
     pub fn from_env() -> Result<Config, ConfigError> {
         const VARIABLE: &str = "PROXY_CONFIG";
+        const DOOR: &str = "PROXY_ADMIN";
         let path = std::env::var(VARIABLE).map_err(|_| ConfigError::Missing(VARIABLE))?;
         let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
-        Config::parse(&text)
+        let mut config = Config::parse(&text)?;
+        // The variable is this process's own, while a file may be shared with the one that it replaces.
+        if let Ok(text) = std::env::var(DOOR) {
+            let door = text.parse().map_err(|_| ConfigError::Malformed(format!("{DOOR} is no address")))?;
+            config.door = Some(door);
+        }
+        Ok(config)
     }
 
     /// Reads the text of that file.
@@ -118,6 +128,7 @@
             executor: file.executor,
             members: file.members,
             database: file.db,
+            door: file.admin,
             seed,
             stop,
             sockets: file.limits.sockets,
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -23,6 +23,22 @@
     pub log_seldom: Duration,
     /// Connections accepted in one turn.
     pub front_accepts: usize,
+    /// Turns of accepting at the most when the listener closes: with `front_accepts` in each, more than its queue holds.
+    pub front_last_accepts: usize,
+    /// Connections that the machine holds for a listener until it accepts them.
+    pub backlog: i32,
+    /// Bytes of a call at the operators' door.
+    pub door_line: usize,
+    /// Callers at the door at once, each one descriptor; the one that has been there the longest goes for a newcomer.
+    pub door_callers: usize,
+    /// How long a caller at the door may take for its call, and after the answer to end its side.
+    pub door_wait: Duration,
+    /// After an answer at the door, how long its caller may take to read it.
+    pub door_linger: Duration,
+    /// The longest deadline that the platform waits out of a process that was replaced, and what it adds.
+    pub replaced_deadline: Duration,
+    /// See `replaced_deadline`.
+    pub replaced_grace: Duration,
     /// Readiness events taken from the poll at once.
     pub front_events: usize,
     /// While the module is this far behind, time between looks at whether it has caught up.
@@ -102,6 +118,14 @@
             log_state: Duration::from_secs(10),
             log_seldom: Duration::from_secs(1),
             front_accepts: 16,
+            front_last_accepts: 512,
+            backlog: 1024,
+            door_line: 64,
+            door_callers: 16,
+            door_wait: Duration::from_secs(10),
+            door_linger: Duration::from_millis(300),
+            replaced_deadline: Duration::from_secs(3),
+            replaced_grace: Duration::from_millis(700),
             front_events: 256,
             front_hold: Duration::from_millis(1),
             front_output_all: 4 * 1024 * 1024,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,7 +12,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crossbeam_channel::Sender;
+use crossbeam_channel::{bounded, Receiver, Sender};
+use mothwinch_service::{Refused, State, Step};
 
 use crate::interface::{RequestId, Time};
 pub use confinement::Confinement;
@@ -106,8 +107,10 @@
     hint: AtomicU64,
     idle_us: AtomicI64,
     owed: AtomicUsize,
-    draining: AtomicBool,
-    serving: AtomicBool,
+    /// Where this process stands: health, the list's reports, the fronts and the door all read it here.
+    state: Mutex<State>,
+    /// The executor has come up, which is said once.
+    up: (Sender<()>, Receiver<()>),
 }
 
 impl Default for Board {
@@ -117,8 +120,8 @@
             hint: AtomicU64::new(f64::NAN.to_bits()),
             idle_us: AtomicI64::new(0),
             owed: AtomicUsize::new(0),
-            draining: AtomicBool::new(false),
-            serving: AtomicBool::new(false),
+            state: Mutex::default(),
+            up: bounded(1),
         }
     }
 }
@@ -126,7 +129,7 @@
 impl Board {
     /// Whether health checks hear that all is well.
     pub fn ready(&self) -> bool {
-        self.ready.load(Relaxed) && !self.draining.load(Relaxed)
+        self.ready.load(Relaxed) && self.state().healthy()
     }
     /// The free value, once the module has set one.
     pub fn hint(&self) -> Option<f64> {
@@ -140,13 +143,24 @@
     pub fn owed(&self) -> usize {
         self.owed.load(Relaxed)
     }
-    /// Whether the executor has come up, and requests can be taken.
-    pub fn serving(&self) -> bool {
-        self.serving.load(Relaxed)
+    /// Where this process stands.
+    pub fn state(&self) -> State {
+        *self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
-    /// Marks the notice to leave: health is bad from now on, also before the module's next batch.
-    pub fn leave(&self) {
-        self.draining.store(true, Relaxed);
+    /// Moves it: whoever reads it from now on reads the new state.
+    pub fn step(&self, step: Step) -> Result<State, Refused> {
+        self.with_state(|state| {
+            *state = state.step(step)?;
+            Ok(*state)
+        })
+    }
+    /// The same for a change that answers something else.
+    pub fn with_state<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        change(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+    /// Heard from once the executor has come up and requests can be taken.
+    pub fn up(&self) -> &Receiver<()> {
+        &self.up.1
     }
 }
 
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -345,7 +345,7 @@
         self.policy = Some(policy);
         info!(self.log, "executor up"; "cold" => cold, "age_ms" => age.ms());
         actions.into_iter().for_each(|action| self.act(action));
-        self.board.serving.store(true, Relaxed);
+        let _ = self.board.up.0.try_send(());
     }
 
     /// After a break: all notices up to now are read, so what is still unsure was never heard of. What may safely
--- /dev/null
+++ b/tests/service.rs
@@ -0,0 +1,189 @@
+//! Day-to-day service on real sockets: the operators' door, emptying a node, and replacing its process.
+
+mod stand_ins;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use stand_ins::*;
+
+const READ: &str = "statement-read";
+const REFUSED: i64 = -32002;
+
+fn with_door() -> Node {
+    Node::start_with(None, |config| config["admin"] = json!("127.0.0.1:0"))
+}
+
+/// One call at a door.
+fn call(door: SocketAddr, line: &[u8]) -> String {
+    let mut stream = TcpStream::connect(door).expect("a door");
+    stream.write_all(line).expect("written");
+    answer(stream)
+}
+fn answer(stream: TcpStream) -> String {
+    stream.set_read_timeout(Some(Duration::from_secs(15))).expect("a timeout");
+    let mut text = String::new();
+    BufReader::new(stream).read_line(&mut text).expect("an answer");
+    assert!(text.ends_with('\n'), "a whole line: {text:?}");
+    text.trim_end().to_string()
+}
+
+#[test]
+fn a_quiesced_node_serves_what_comes_and_a_word_brings_it_back() {
+    let node = with_door();
+    let door = node.door();
+    let mut front = node.front();
+    assert_eq!(call(door, b"health\n"), "ok serving");
+    assert_eq!(front.alive()["result"]["ready"], true);
+    // The answer is true when it is given: not one health check after it is good, old connection or new.
+    assert_eq!(call(door, b"quiesce\n"), "ok quiesced");
+    assert_eq!(front.alive()["result"]["ready"], false);
+    assert_eq!(node.front().alive()["result"]["ready"], false);
+    until("the list hears of it", || node.list.heard("HB n3 OUT"));
+    // It is not the notice to leave: what comes after the grace of 500 ms is served all the same.
+    std::thread::sleep(Duration::from_millis(700));
+    let served = front.ask(READ, "serve:quiesced");
+    assert_eq!(unbase64(served["result"]["body"].as_str().expect("served")), "done serve:quiesced");
+    assert_eq!(call(door, b"health\n"), "ok quiesced");
+    assert_eq!(call(door, b" quiesce \r\n"), "ok quiesced");
+    assert_eq!(call(door, b"resume\n"), "ok serving");
+    assert_eq!(front.alive()["result"]["ready"], true);
+    assert_eq!(call(door, b"resume\n"), "ok serving");
+}
+
+/// SIGHUP changes nothing of it; SIGTERM ends it, and then nothing brings the node back.
+#[test]
+fn a_quiesced_node_stays_so_over_a_reload_and_leaves_when_told_to() {
+    let mut node = Node::start_with(None, |config| {
+        config["admin"] = json!("127.0.0.1:0");
+        config["stop_ms"] = json!(4000);
+    });
+    let door = node.door();
+    let mut front = node.front();
+    assert_eq!(call(door, b"quiesce\n"), "ok quiesced");
+    let config = config(node.executor.address, node.database.address, node.list.address);
+    node.reload(&config.to_string());
+    until("it is read again", || node.log().contains("configuration read again"));
+    assert_eq!(front.alive()["result"]["ready"], false);
+    // What hangs keeps the process until all has been asked.
+    front.send("settlement-post", "hang");
+    until("it runs", || node.executor.runs("hang") == 1);
+    node.terminate();
+    assert_eq!(front.next()["method"], "farewell");
+    assert_eq!(call(door, b"resume\n"), "fail leaving");
+    assert_eq!(call(door, b"health\n"), "fail leaving");
+    assert_eq!(call(door, b"quiesce\n"), "ok leaving");
+    assert_eq!(node.front().alive()["result"]["ready"], false);
+    assert!(front.next()["error"]["code"].as_i64().is_some_and(|code| code != REFUSED));
+    drop(front);
+    assert_eq!(node.exit().code(), Some(0));
+}
+
+/// Before its executor is up a process takes no clients where another may serve at its address; a word said meanwhile
+/// holds from the first moment on.
+#[test]
+fn a_process_that_is_not_up_takes_no_clients_and_keeps_what_it_was_told() {
+    let executor = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let at = executor.local_addr().expect("bound");
+    let node = Node::spawn(|config| {
+        config["admin"] = json!("127.0.0.1:0");
+        config["executor"] = json!(at);
+    });
+    let (mut link, _) = executor.accept().expect("a link");
+    until("there is a door", || node.logged("door").is_some());
+    let door = node.door();
+    assert_eq!(call(door, b"health\n"), "fail starting");
+    assert_eq!(call(door, b"quiesce\n"), "ok starting, to be quiesced");
+    assert!(node.logged("listening").is_none(), "it takes no clients yet");
+    link.write_all(b"{\"action\":\"WELCOME\",\"code\":\"WARM\",\"wall_ms\":5}\n").expect("written");
+    until("it is up", || call(door, b"health\n") == "ok quiesced");
+    let address = node.logged("listening").expect("it listens");
+    assert_eq!(Front::connect(address).alive()["result"]["ready"], false);
+    assert_eq!(call(door, b"resume\n"), "ok serving");
+    until("the module has begun", || Front::connect(address).alive()["result"]["ready"] == true);
+}
+
+#[test]
+fn what_is_no_call_fails_and_changes_nothing() {
+    let node = with_door();
+    let door = node.door();
+    let unknown = "fail unknown call; there are health, quiesce and resume";
+    for line in [&b"drain\n"[..], b"\n", b"QUIESCE\n", b"quiesce now\n", b"\xff\xfe\x00\n", b"quiesce\0\n"] {
+        assert_eq!(call(door, line), unknown, "{line:?}");
+    }
+    assert_eq!(call(door, &[b'q'; 4096]), "fail the line is too long");
+    // A line that was cut short is no call, however much it looks like one.
+    let mut cut = TcpStream::connect(door).expect("a door");
+    cut.write_all(b"quiesce").expect("written");
+    cut.shutdown(Shutdown::Write).expect("ended");
+    assert_eq!(answer(cut), "fail the line was cut short");
+    // In pieces it is one.
+    let mut pieces = TcpStream::connect(door).expect("a door");
+    for piece in [&b"hea"[..], b"lt", b"h\n"] {
+        pieces.write_all(piece).expect("written");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(answer(pieces), "ok serving");
+}
+
+/// Guards the second that the door has: a hundred callers that hold a connection without a line, while the front is
+/// flooded.
+#[test]
+fn the_door_answers_within_its_second_whatever_the_others_do() {
+    let node = with_door();
+    let door = node.door();
+    let end = Instant::now() + Duration::from_secs(2);
+    let (worst, answers) = std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                let mut front = node.front();
+                while Instant::now() < end {
+                    let sent: Vec<u64> = (0..16).map(|_| front.send(READ, "serve")).collect();
+                    sent.iter().for_each(|_| drop(front.next()));
+                }
+            });
+        }
+        let held: Vec<TcpStream> = (0..100)
+            .map(|n| {
+                let mut stream = TcpStream::connect(door).expect("a door");
+                stream.write_all(if n % 2 == 0 { b"heal" } else { b"" }).expect("written");
+                stream
+            })
+            .collect();
+        let (mut worst, mut answers) = (Duration::ZERO, 0);
+        while Instant::now() < end {
+            let begun = Instant::now();
+            assert_eq!(call(door, b"health\n"), "ok serving");
+            worst = worst.max(begun.elapsed());
+            answers += 1;
+        }
+        drop(held);
+        (worst, answers)
+    });
+    assert!(worst < Duration::from_secs(1) && answers > 0, "{answers} answers, the worst after {worst:?}");
+}
+
+#[test]
+fn a_door_that_can_not_be_had_is_one_line_and_no_start() {
+    let unused: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let mut config = config(unused, unused, unused);
+    for (admin, says) in [
+        (json!("nowhere"), "configuration: "),
+        (json!(7), "configuration: "),
+        (json!(taken.local_addr().expect("bound")), "door: "),
+    ] {
+        config["admin"] = admin;
+        let file = Scratch::new("door.json", &config.to_string());
+        let output = command(&file).output().expect("the program starts");
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success());
+        assert!(said.contains(says) && said.lines().count() == 1, "{said}");
+    }
+    let file = Scratch::new("variable.json", &config.to_string());
+    let output = command(&file).env("PROXY_ADMIN", "here").output().expect("the program starts");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(said.trim_end(), "mothwinch: configuration: PROXY_ADMIN is no address");
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -445,6 +445,27 @@
         if let Some(cells) = cells {
             command.arg("--cells").arg(&cells.0);
         }
+        let mut node = Node::run(command, (executor, database, list), file);
+        until("the node listens", || node.logged("listening").is_some());
+        node.address = node.logged("listening").expect("an address");
+        // With another executor, the test itself says what to wait for.
+        if config["executor"] == json!(node.executor.address) {
+            let mut front = node.front();
+            until("the node is ready", || front.alive()["result"]["ready"] == true);
+        }
+        node
+    }
+
+    /// A node that may not come up, with a configuration that differs.
+    pub fn spawn(change: impl FnOnce(&mut Value)) -> Node {
+        let (executor, database, list) = (Executor::start(), Database::start(), List::start());
+        let mut config = config(executor.address, database.address, list.address);
+        change(&mut config);
+        let file = Scratch::new("config.json", &config.to_string());
+        Node::run(command(&file), (executor, database, list), file)
+    }
+
+    fn run(mut command: Command, peers: (Executor, Database, List), config: Scratch) -> Node {
         let mut process = command.spawn().expect("the program starts");
         let log = Arc::new(Mutex::new(String::new()));
         let (shared, stderr) = (log.clone(), process.stderr.take().expect("a log"));
@@ -453,22 +474,20 @@
                 lock(&shared).push_str(&(line + "\n"));
             }
         });
-        let address = || {
-            let log = lock(&log);
-            let line = log.lines().find(|line| line.contains("listening"))?;
-            line.split("at: ").nth(1)?.split(',').next()?.parse().ok()
-        };
-        until("the node listens", || address().is_some());
-        let address = address().expect("an address");
-        let node = Node { executor, database, list, address, process, log, config: file };
-        // With another executor, the test itself says what to wait for.
-        if config["executor"] == json!(node.executor.address) {
-            let mut front = node.front();
-            until("the node is ready", || front.alive()["result"]["ready"] == true);
-        }
-        node
+        let (executor, database, list) = peers;
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        Node { executor, database, list, address, process, log, config }
     }
 
+    /// The address that a line of the log tells with these words before it.
+    pub fn logged(&self, words: &str) -> Option<SocketAddr> {
+        let (log, words) = (lock(&self.log), format!("{words}, at: "));
+        log.lines().find_map(|line| line.split(&words).nth(1)?.split(',').next()?.parse().ok())
+    }
+    /// Where the operators' door is.
+    pub fn door(&self) -> SocketAddr {
+        self.logged("door").expect("a door")
+    }
     pub fn front(&self) -> Front {
         Front::connect(self.address)
     }
