The database's actor carries all calls on one thread: 55 threads a node become 8

Lines at fault: two threads a lane in net/database.rs, 48 of the 55, nearly all of them idle.

Change: one readiness loop for all calls, each with its own times to connect, to be answered, and from a reply's first byte to its last. Rejected: lanes started on demand (a crowd of calls still makes 48), and one thread a lane with a read timeout (24 remain).

--- a/src/main.rs
+++ b/src/main.rs
@@ -145,13 +145,15 @@
     let board = Arc::new(Board::default());
     let (module, inbox) = bounded(limits.module_mailbox);
     let (to_executor, executor_inbox) = bounded(limits.executor_mailbox);
-    let (to_database, database_inbox) = bounded(limits.database_lanes * 4);
     let (to_list, list_inbox) = bounded(1);
     let (to_moves, moves) = bounded(1);
 
     let grace = Duration::from_micros(config.site.settings.drain_grace.0.unsigned_abs());
     let site = Arc::new(config.site);
-    let peers = Peers { executor: to_executor, database: to_database };
+    let database_log = log.new(o!("actor" => "database"));
+    let database = Arc::new(Address::new(config.database));
+    let calls = database::start(&database, &limits, &module, &database_log).map_err(system("threads"))?;
+    let peers = Peers { executor: to_executor, database: Box::new(move |call| calls.make(call)) };
     let told = (site.clone(), config.seed, config.stop);
     let actor = Module::new(
         told,
@@ -172,10 +174,6 @@
     let mailboxes = executor::Mailboxes { commands: executor_inbox, moves, module: module.clone() };
     spawn("executor", limits.stack, move || executor::run(at, &own, &mailboxes, &own_log))
         .map_err(system("threads"))?;
-    let database_log = log.new(o!("actor" => "database"));
-    let database = Arc::new(Address::new(config.database));
-    database::start(&database, &limits, &database_inbox, &module, &database_log)
-        .map_err(system("threads"))?;
     let (at, own, own_log, own_board) =
         (config.members, limits.clone(), log.new(o!("actor" => "list")), board.clone());
     let name = config.name.clone();
--- a/src/net/database.rs
+++ b/src/net/database.rs
@@ -1,77 +1,195 @@
-//! The database's actor: a bounded pool of lanes that share one mailbox. A lane carries one call at a time, each on
-//! a connection of its own; a reader beside it reads the reply, so that the lane waits with a timer.
+//! The database's actor: one thread that carries all calls in hand, each on a connection of its own, by readiness. Every
+//! call has its own times: to connect, to be answered, and from the reply's first byte to its last.
+//!
+//! Two threads a lane, as the house style has it, made 48 of a node's 55 threads; `docs/architecture.md` has the figures.
 //!
 //! Connections are not used again. Behind a reply may come a second copy of it or noise, at any time, and HTTP/1.1
 //! has nothing to tell that from the next call's reply; and one that the database has forgotten is reset at the next
 //! call, which looks as if that call might have run. On a fresh connection there is neither doubt.
 
+use std::collections::HashMap;
 use std::fmt;
-use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::io::{self, ErrorKind, Read, Write};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::Arc;
 use std::time::Instant;
 
-use crossbeam_channel::{at, bounded, select, Receiver, Sender};
-use slog::{debug, Logger};
+use crossbeam_channel::{bounded, Receiver, Sender, TryRecvError};
+use mio::net::TcpStream;
+use mio::{Events, Interest, Poll, Token, Waker};
+use slog::{debug, warn, Logger};
 
 use super::{spawn, Address};
 use crate::node::{Body, Call, CallResult, Limits, Msg};
 
-/// Starts the lanes.
-pub fn start(
-    to: &Arc<Address>,
-    limits: &Limits,
-    inbox: &Receiver<Call>,
-    module: &Sender<Msg>,
-    log: &Logger,
-) -> io::Result<()> {
-    for _ in 0..limits.database_lanes {
-        let (reader, streams) = bounded(0);
-        let (tell, told) = bounded(2);
-        let reading = limits.clone();
-        spawn("database-read", limits.stack, move || read_replies(&streams, &reading, &tell))?;
-        let lane = Lane { to: to.clone(), limits: limits.clone(), reader, told, log: log.clone() };
-        let (inbox, module) = (inbox.clone(), module.clone());
-        spawn("database", limits.stack, move || lane.run(&inbox, &module))?;
+const MAILBOX: Token = Token(0);
+
+/// The actor's mailbox.
+pub struct Calls {
+    sender: Sender<Call>,
+    waker: Arc<Waker>,
+    /// The thread has been woken and has not looked since.
+    woken: Arc<AtomicBool>,
+}
+
+impl Calls {
+    /// Hands a call over, and never waits; false where there is no room, and the call was never made.
+    pub fn make(&self, call: Call) -> bool {
+        let taken = self.sender.try_send(call).is_ok();
+        if taken && !self.woken.swap(true, SeqCst) {
+            let _ = self.waker.wake();
+        }
+        taken
     }
-    Ok(())
 }
 
-/// What a lane hears from its reader: for each connection `Begun` at most once, then one `Ended`.
-enum FromReader {
-    /// The first byte of a reply is there.
-    Begun,
-    Ended(Result<HttpReply, ReplyError>),
+/// Starts the actor.
+pub fn start(to: &Arc<Address>, limits: &Limits, module: &Sender<Msg>, log: &Logger) -> io::Result<Calls> {
+    let poll = Poll::new()?;
+    let waker = Arc::new(Waker::new(poll.registry(), MAILBOX)?);
+    let woken = Arc::new(AtomicBool::new(false));
+    let (sender, inbox) = bounded(limits.database_lanes * 4);
+    let lanes = Lanes {
+        to: to.clone(),
+        limits: limits.clone(),
+        poll,
+        inbox,
+        woken: woken.clone(),
+        module: module.clone(),
+        log: log.clone(),
+        exchanges: HashMap::new(),
+        next: MAILBOX.0 + 1,
+        chunk: vec![0; limits.read],
+    };
+    spawn("database", limits.stack, move || lanes.run())?;
+    Ok(Calls { sender, waker, woken })
+}
+
+/// One call on its connection.
+struct Exchange {
+    call: Call,
+    stream: TcpStream,
+    begun: Instant,
+    connected: bool,
+    /// What is to be written; up to `written` it has been.
+    request: Vec<u8>,
+    written: usize,
+    /// What was read.
+    held: Vec<u8>,
+    /// When it is given up.
+    late: Instant,
 }
 
-struct Lane {
+impl Exchange {
+    /// Goes on as far as it can: the end of the call, or nothing while the peer is to do something.
+    fn go_on(&mut self, chunk: &mut [u8], limits: &Limits) -> Option<Result<HttpReply, ReplyError>> {
+        if !self.connected {
+            match self.stream.take_error().and_then(|error| error.map_or(Ok(()), Err)) {
+                Ok(()) => {}
+                Err(e) => return Some(Err(ReplyError::NotSent(e))),
+            }
+            match self.stream.peer_addr() {
+                Ok(_) => self.connected = true,
+                Err(e) if e.kind() == ErrorKind::NotConnected => return None,
+                Err(e) => return Some(Err(ReplyError::NotSent(e))),
+            }
+            let _ = self.stream.set_nodelay(true);
+            self.late = self.begun + self.call.limit;
+        }
+        while self.written < self.request.len() {
+            match self.stream.write(&self.request[self.written..]) {
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                // From the first byte on, a break proves nothing: the call may have had its effect.
+                Err(e) => return Some(Err(ReplyError::Broken(Some(e)))),
+            }
+        }
+        loop {
+            match self.stream.read(chunk) {
+                Ok(0) => return Some(Err(ReplyError::Broken(None))),
+                Ok(n) => {
+                    if self.held.is_empty() {
+                        // A reply that has begun is here in a moment, or it is one that will never be whole.
+                        self.late = self.late.min(Instant::now() + limits.database_rest);
+                    }
+                    self.held.extend_from_slice(&chunk[..n]);
+                    if let Some(whole) = parse(&self.held, limits).transpose() {
+                        return Some(whole);
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Some(Err(ReplyError::Broken(Some(e)))),
+            }
+        }
+    }
+}
+
+struct Lanes {
     to: Arc<Address>,
     limits: Limits,
-    reader: Sender<Arc<TcpStream>>,
-    told: Receiver<FromReader>,
+    poll: Poll,
+    inbox: Receiver<Call>,
+    woken: Arc<AtomicBool>,
+    module: Sender<Msg>,
     log: Logger,
+    exchanges: HashMap<usize, Exchange>,
+    next: usize,
+    chunk: Vec<u8>,
 }
 
-impl Lane {
-    fn run(self, inbox: &Receiver<Call>, module: &Sender<Msg>) {
-        for call in inbox {
-            let begun = Instant::now();
-            let result = self.call(&call, begun);
-            if module.send(Msg::CallDone(call.id, result, begun.elapsed())).is_err() {
+impl Lanes {
+    /// Runs until the module is gone.
+    fn run(mut self) {
+        let mut events = Events::with_capacity(self.limits.database_lanes * 2);
+        loop {
+            let first = self.exchanges.values().map(|e| e.late).min();
+            let wait = first.map(|at| at.saturating_duration_since(Instant::now()));
+            match self.poll.poll(&mut events, wait) {
+                Err(e) if e.kind() != ErrorKind::Interrupted => {
+                    // Nothing that the peer does leads here.
+                    warn!(self.log, "database: poll"; "error" => %e);
+                    std::thread::sleep(self.limits.reconnect);
+                }
+                _ => {}
+            }
+            self.woken.store(false, SeqCst);
+            let ready: Vec<usize> = events.iter().map(|e| e.token().0).filter(|n| *n != MAILBOX.0).collect();
+            let going_on = ready.into_iter().all(|number| self.go_on(number).is_ok());
+            if !going_on || self.give_up_late().is_err() || self.take_up().is_err() {
                 return;
             }
         }
     }
 
-    fn call(&self, call: &Call, begun: Instant) -> CallResult {
+    /// Takes up calls while there are lanes for them.
+    fn take_up(&mut self) -> Result<(), Gone> {
+        while self.exchanges.len() < self.limits.database_lanes {
+            let call = match self.inbox.try_recv() {
+                Ok(call) => call,
+                Err(TryRecvError::Empty) => break,
+                Err(TryRecvError::Disconnected) if self.exchanges.is_empty() => return Err(Gone),
+                Err(TryRecvError::Disconnected) => break,
+            };
+            self.begin(call)?;
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, call: Call) -> Result<(), Gone> {
+        let begun = Instant::now();
         let to = self.to.get();
-        let stream = match self.connect(to) {
+        let number = self.next;
+        self.next += 1;
+        let both = Interest::READABLE | Interest::WRITABLE;
+        let connecting = TcpStream::connect(to).and_then(|mut stream| {
+            self.poll.registry().register(&mut stream, Token(number), both)?;
+            Ok(stream)
+        });
+        let stream = match connecting {
             Ok(stream) => stream,
-            Err(e) => {
-                // Nothing was sent.
-                debug!(self.log, "database connect"; "error" => %e);
-                return CallResult::NeverRan;
-            }
+            Err(e) => return self.end(&call, begun, Err(ReplyError::NotSent(e))),
         };
         let body = call.body.to_bytes().unwrap_or_default();
         let mut request = format!(
@@ -82,48 +200,60 @@
         )
         .into_bytes();
         request.extend_from_slice(&body);
-        // From the first byte on, a break proves nothing: the call may have had its effect.
-        let sent = (&*stream).write_all(&request).is_ok();
-        let result = if sent { self.reply(&stream, begun + call.limit) } else { CallResult::Unknown };
-        // Closing gives up a call that is still out, and what else may come on the connection.
-        let _ = stream.shutdown(Shutdown::Both);
-        result
+        let late = begun + self.limits.connect.min(call.limit);
+        let exchange =
+            Exchange { call, stream, begun, connected: false, request, written: 0, held: Vec::new(), late };
+        self.exchanges.insert(number, exchange);
+        self.go_on(number)
     }
 
-    fn reply(&self, stream: &Arc<TcpStream>, mut late: Instant) -> CallResult {
-        if self.reader.send(stream.clone()).is_err() {
-            return CallResult::Unknown;
+    fn go_on(&mut self, number: usize) -> Result<(), Gone> {
+        let Some(exchange) = self.exchanges.get_mut(&number) else { return Ok(()) };
+        match exchange.go_on(&mut self.chunk, &self.limits) {
+            Some(how) => self.close(number, how),
+            None => Ok(()),
         }
-        loop {
-            select! {
-                recv(self.told) -> msg => match msg {
-                    // A reply that has begun is here in a moment, or it is one that will never be whole.
-                    Ok(FromReader::Begun) => late = late.min(Instant::now() + self.limits.database_rest),
-                    Ok(FromReader::Ended(Ok(reply))) => return reply.result(),
-                    Ok(FromReader::Ended(Err(e))) => {
-                        debug!(self.log, "database reply"; "error" => %e);
-                        return CallResult::Unknown;
-                    }
-                    Err(_) => return CallResult::Unknown,
-                },
-                recv(at(late)) -> _ => {
-                    // Ends the reader, whose last word on this connection must not be taken for the next one's.
-                    let _ = stream.shutdown(Shutdown::Both);
-                    while matches!(self.told.recv(), Ok(FromReader::Begun)) {}
-                    return CallResult::Unknown;
-                }
-            }
+    }
+
+    fn give_up_late(&mut self) -> Result<(), Gone> {
+        let now = Instant::now();
+        let late: Vec<usize> =
+            self.exchanges.iter().filter(|(_, e)| e.late <= now).map(|(number, _)| *number).collect();
+        for number in late {
+            let connected = self.exchanges.get(&number).is_some_and(|e| e.connected);
+            let why =
+                if connected { ReplyError::Late } else { ReplyError::NotSent(ErrorKind::TimedOut.into()) };
+            self.close(number, Err(why))?;
         }
+        Ok(())
+    }
+
+    /// Closing gives up a call that is still out, and what else may come on the connection.
+    fn close(&mut self, number: usize, how: Result<HttpReply, ReplyError>) -> Result<(), Gone> {
+        let Some(Exchange { call, begun, .. }) = self.exchanges.remove(&number) else { return Ok(()) };
+        self.end(&call, begun, how)
     }
 
-    fn connect(&self, to: SocketAddr) -> io::Result<Arc<TcpStream>> {
-        let stream = TcpStream::connect_timeout(&to, self.limits.connect)?;
-        stream.set_nodelay(true)?;
-        stream.set_write_timeout(Some(self.limits.write))?;
-        Ok(Arc::new(stream))
+    fn end(&self, call: &Call, begun: Instant, how: Result<HttpReply, ReplyError>) -> Result<(), Gone> {
+        let result = match how {
+            Ok(reply) => reply.result(),
+            Err(e) => {
+                debug!(self.log, "database call"; "rid" => %call.rid, "error" => %e);
+                // On a connection that never came about nothing was sent.
+                if matches!(e, ReplyError::NotSent(_)) {
+                    CallResult::NeverRan
+                } else {
+                    CallResult::Unknown
+                }
+            }
+        };
+        self.module.send(Msg::CallDone(call.id, result, begun.elapsed())).map_err(|_| Gone)
     }
 }
 
+/// Nobody waits for calls any more.
+struct Gone;
+
 /// A whole HTTP reply.
 #[derive(Debug, PartialEq)]
 struct HttpReply {
@@ -145,6 +275,10 @@
 /// Why what came is no reply.
 #[derive(Debug)]
 enum ReplyError {
+    /// The connection never came about.
+    NotSent(io::Error),
+    /// It did not come in time.
+    Late,
     /// The connection broke or ended before it was whole.
     Broken(Option<io::Error>),
     /// Not an HTTP head, or one that does not end.
@@ -158,6 +292,8 @@
 impl fmt::Display for ReplyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            ReplyError::NotSent(e) => write!(f, "no connection: {e}"),
+            ReplyError::Late => f.write_str("not in time"),
             ReplyError::Broken(None) => f.write_str("ended before it was whole"),
             ReplyError::Broken(Some(e)) => write!(f, "broke: {e}"),
             ReplyError::Head => f.write_str("not an HTTP reply"),
@@ -167,42 +303,6 @@
     }
 }
 
-/// A lane's reader: reads one reply from each connection it is given.
-fn read_replies(streams: &Receiver<Arc<TcpStream>>, limits: &Limits, tell: &Sender<FromReader>) {
-    let mut chunk = vec![0; limits.read];
-    for stream in streams {
-        let ended = read_reply(&stream, limits, &mut chunk, tell);
-        if tell.send(FromReader::Ended(ended)).is_err() {
-            return;
-        }
-    }
-}
-
-fn read_reply(
-    mut from: &TcpStream,
-    limits: &Limits,
-    chunk: &mut [u8],
-    tell: &Sender<FromReader>,
-) -> Result<HttpReply, ReplyError> {
-    let mut held = Vec::new();
-    loop {
-        match from.read(chunk) {
-            Ok(0) => return Err(ReplyError::Broken(None)),
-            Ok(n) => {
-                if held.is_empty() && tell.send(FromReader::Begun).is_err() {
-                    return Err(ReplyError::Broken(None));
-                }
-                held.extend_from_slice(&chunk[..n]);
-            }
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-            Err(e) => return Err(ReplyError::Broken(Some(e))),
-        }
-        if let Some(reply) = parse(&held, limits)? {
-            return Ok(reply);
-        }
-    }
-}
-
 /// The reply in what was read, or nothing while it is not whole. Answers of the 1xx kind before it are passed over;
 /// what comes after it is not looked at.
 fn parse(held: &[u8], limits: &Limits) -> Result<Option<HttpReply>, ReplyError> {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -193,6 +193,6 @@
 pub struct Peers {
     /// The executor's actor.
     pub executor: Sender<ToExecutor>,
-    /// The database's lanes.
-    pub database: Sender<Call>,
+    /// The database's actor: takes a call, or says that it has no room.
+    pub database: Box<dyn Fn(Call) -> bool + Send>,
 }
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -457,7 +457,7 @@
                 let (rid, body) = (entry.rid, body.clone());
                 entry.stage = Stage::Calling(body.clone());
                 let limit = Duration::from_micros(limit.0.unsigned_abs());
-                if self.peers.database.try_send(Call { id, rid, body, limit }).is_err() {
+                if !(self.peers.database)(Call { id, rid, body, limit }) {
                     self.call_done(id, CallResult::NeverRan, Duration::ZERO);
                 }
             }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -6,7 +6,7 @@
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
-use crossbeam_channel::{bounded, Receiver, Sender};
+use crossbeam_channel::{bounded, Receiver};
 use mothwinch::net::{database, Address, Lines};
 use mothwinch::node::{Answer, Body, Call, CallResult, Failure, Limits, Msg, Outcome, Reply, Rid};
 use mothwinch::RequestId;
@@ -14,7 +14,7 @@
 use stand_ins::{unix_ms, until, Database};
 
 struct Pool {
-    calls: Sender<Call>,
+    calls: database::Calls,
     done: Receiver<Msg>,
 }
 
@@ -22,15 +22,15 @@
     fn start(to: std::net::SocketAddr, change: impl FnOnce(&mut Limits)) -> Pool {
         let mut limits = Limits::new(1024);
         change(&mut limits);
-        let ((calls, inbox), (module, done)) = (bounded(8), bounded(8));
-        database::start(&Arc::new(Address::new(to)), &limits, &inbox, &module, &Logger::root(Discard, o!()))
-            .expect("threads");
+        let (module, done) = bounded(8);
+        let log = Logger::root(Discard, o!());
+        let calls = database::start(&Arc::new(Address::new(to)), &limits, &module, &log).expect("threads");
         Pool { calls, done }
     }
     /// Makes a call and tells how it ended.
     fn call(&self, body: &str, limit: Duration) -> String {
         let (rid, body) = (Rid::from_number(7), Body::from_bytes(body.as_bytes()));
-        self.calls.send(Call { id: RequestId(1), rid, body, limit }).expect("a pool");
+        assert!(self.calls.make(Call { id: RequestId(1), rid, body, limit }), "there is room");
         match self.done.recv_timeout(Duration::from_secs(20)).expect("an end") {
             Msg::CallDone(RequestId(1), CallResult::Reply(body), _) => {
                 String::from_utf8(body.to_bytes().expect("base64")).expect("utf-8")
