A ledger call whose answer went missing is known by those that overtook it

Of 2,783 calls the good ones took 30 ms in the mean, 229 at the 99th in 100 and 775 at most; the failed ones 4 s.

Lines at fault in logic.rs: call_ended took a lost call out of the faded sum of times whole, so the others' time went with it and call_best fell to what no ledger can do, which passes for a slow one from then on; and call_patience held a place 80 best means for each lost answer. Ruled out: memory (12 of 26 MB booked), cores, the wire (the lanes end calls in time), and too few lanes (13 of 24 in hand at most).

Change: what a lost call added is taken out as it has faded.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -60,6 +60,13 @@
 const CALLS_WHEN_SLOW: f64 = 0.25;
 /// A call is lost past this multiple of their long-run best, well beyond what a slow dependency makes of one.
 const CALL_PATIENCE: f64 = 80.0;
+/// Answers go missing where a call is overtaken by so many for each one in hand; of a slow dependency all are slow.
+const OVERTAKEN: f64 = 16.0;
+/// Where that is known a call is lost sooner: past what a long one takes when the dependency is this many
+/// times slower than at its best, the most that its record knows ...
+const SLOWEST_CALLS: f64 = 6.6;
+/// ... and past so many mean deviations from what calls take of late, which hardly one in a thousand exceeds.
+const CALL_TAIL: f64 = 8.0;
 /// The long-run best is forgotten over this many of the dependency's spans.
 const BEST_SPANS: f64 = 8.0;
 
@@ -118,6 +125,8 @@
     used: f64,
     since: f64,
     calls: f64,
+    /// How many calls had gone well when its last one was made.
+    called_at: u64,
     /// It was given a place in the plan.
     placed: bool,
 }
@@ -196,9 +205,14 @@
     /// Core time spent and work done by it, both fading: their ratio is how slow this server is now.
     spent: f64,
     done: f64,
-    /// Time in calls and calls ended, both fading.
+    /// Time in calls, calls ended, and how far those that went well were off the mean, all fading.
     call_time: f64,
     calls_done: f64,
+    call_stray: f64,
+    /// Calls that went well.
+    answered: u64,
+    /// Until when answers of the dependency are expected to go missing.
+    lossy: Time,
     /// When the dependency lets go of calls that were given up.
     lingering: Vec<Time>,
     /// Calls in the dependency's hands, mean over its span.
@@ -337,6 +351,7 @@
         self.seen.spent = self.seen.spent * keep + ms * n.min(cores);
         self.seen.done *= keep;
         self.seen.call_time = self.seen.call_time * keep + ms * self.seen.calling as f64;
+        self.seen.call_stray *= keep;
         self.seen.calls_done *= keep;
         self.seen.unread *= keep;
         // What is refused here anyway need not come: while many are, the level rises, slowly enough to see
@@ -410,6 +425,7 @@
             used: 0.0,
             since: 0.0,
             calls: 0.0,
+            called_at: 0,
             placed: false,
         };
         self.seen.memory += r.held_kb;
@@ -629,15 +645,19 @@
     fn call_ended(&mut self, id: RequestId, end: CallEnd, took: Span, out: &mut Vec<Action>) {
         self.seen.calls_done += 1.0;
         if end == CallEnd::Failed {
-            // A call that failed tells nothing of how long calls take.
+            // A call that failed tells nothing of how long calls take: what it added is taken out again, and that has
+            // faded since. Taken out whole, it would take the time of others with it.
             self.seen.calls_done -= 1.0;
-            self.seen.call_time = (self.seen.call_time - took.ms()).max(0.0);
+            let span = self.set.crowd_span.ms();
+            let added = span * (1.0 - fade(took.ms(), span));
+            self.seen.call_time = (self.seen.call_time - added).max(0.0);
             self.seen.lingering.push(self.now + self.set.linger);
         }
         let Some(r) = self.reqs.get(&id) else { return };
         if end == CallEnd::Good {
-            let recent = self.call_ms();
-            self.call_best = self.call_best.min(recent);
+            self.seen.answered += 1;
+            self.seen.call_stray += (took.ms() - self.call_ms()).abs();
+            self.call_best = self.call_best.min(self.call_ms());
             return self.move_to(id, Phase::OnCore);
         }
         // A call that failed is made again only where that is safe, and later by as long as it took: a
@@ -653,7 +673,12 @@
     fn make_calls(&mut self, out: &mut Vec<Action>) {
         // Calls are scarce when it matters: those that still bring most come first, late ones last.
         let mut waiting: Vec<(f64, Time, RequestId)> = Vec::new();
+        let overtaken = OVERTAKEN * self.in_hand().max(1.0);
         for (id, r) in &self.reqs {
+            if r.phase == Phase::Calling && (self.seen.answered - r.called_at) as f64 >= overtaken {
+                // One that so many overtook is not slow: its answer went missing, and more will.
+                self.seen.lossy = self.now + Span::from_ms(BEST_SPANS * self.set.calls_span.ms());
+            }
             if let Phase::AtCall(not_before) = r.phase {
                 if r.owed && not_before <= self.now {
                     let c = &self.set.classes[r.class];
@@ -684,6 +709,7 @@
                 out.push(Action::Call(id, Span::from_ms(limit.max(1.0))));
                 if let Some(r) = self.reqs.get_mut(&id) {
                     r.calls += 1.0;
+                    r.called_at = self.seen.answered;
                 }
                 self.move_to(id, Phase::Calling);
             }
@@ -712,12 +738,23 @@
         crowded && self.set.below == Below::Shared && self.call_ms() > SLOW_CALLS * doubt * self.call_best
     }
 
+    /// The dependency as this server sees it, for the log: calls in hand, their mean over the span and its limit, ms of
+    /// a call of late and at best.
+    pub fn calls_seen(&self) -> [f64; 5] {
+        [self.in_hand(), self.seen.calls_mean, self.call_limit(), self.call_ms(), self.call_best]
+    }
+
     /// Ms after which no answer to a call is expected any more: it would keep its place among the calls until
     /// its request is due, and make the dependency look slow. Longer where it can't be made again.
     fn call_patience(&self, class: usize) -> f64 {
         let c = &self.set.classes[class];
         let again = if c.effect == Effect::Repeatable { 1.0 } else { 2.0 };
-        (CALL_PATIENCE * self.call_best).max(c.aim.ms() / 4.0) * again
+        let stray = self.seen.call_stray / self.seen.call_time.max(1e-9);
+        let at_worst = SLOWEST_CALLS * self.call_best * (1.0 + SPREAD * stray);
+        let of_late = self.call_ms() * (1.0 + CALL_TAIL * stray);
+        let lossy = self.now < self.seen.lossy;
+        let patience = if lossy { at_worst.max(of_late) } else { CALL_PATIENCE * self.call_best };
+        patience.max(c.aim.ms() / 4.0) * again
     }
 
     /// In the mean over the told span, and never more at once than that, or one.
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -151,6 +151,7 @@
             info!(self.log, "state"; "held" => held, "running" => running, "ghosts" => ghosts,
                 "owed" => self.board.owed(), "timers" => self.timers.len(), "pending" => self.pending.len(),
                 "booked_kb" => booked_kb as u64, "most_booked_kb" => peaks.booked_kb as u64,
+                "calls" => ?self.policy.as_ref().map(Policy::calls_seen),
                 "memory_kb" => self.site.settings.memory_kb as u64, "oldest_read_ms" => peaks.age.ms() as u64);
         });
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -708,3 +708,56 @@
     // Of nine tenths of 300 kB the run takes 40 and its key 5: at most 22 wait, and none is refused.
     assert!(failed(&out).len() >= 36 && refused(&out).is_empty(), "{}", failed(&out).len());
 }
+
+/// One request after another makes a call of 40 ms, beside one whose call is never answered.
+fn calls_beside_a_silent_one(server: &mut Server, rounds: u64) -> Vec<Action> {
+    let mut last = Vec::new();
+    for n in 0..rounds {
+        let id = 1000 + n;
+        let begun = server.now + 1.0;
+        assert_eq!(runs(&server.at(begun, &[Event::Read(request(id, 0))])), [id]);
+        last = server.at(begun + 5.0, &[Event::NeedsCall(RequestId(id))]);
+        assert_eq!(calls(&last), [id]);
+        server.at(begun + 45.0, &[Event::CallEnded(RequestId(id), CallEnd::Good, Span::from_ms(40.0))]);
+        server.at(begun + 50.0, &[Event::Finished(RequestId(id), RunEnd::Served)]);
+    }
+    last
+}
+fn silent_call(server: &mut Server) -> f64 {
+    server.read(0..1, 0);
+    assert_eq!(calls(&server.at(server.now + 5.0, &[Event::NeedsCall(RequestId(0))])), [0]);
+    server.now
+}
+
+/// Guards the mean and the best mean of calls against one that was never answered: it used to be taken out whole from a
+/// sum that had faded since, which took the others' time with it and left a best that no dependency could reach.
+#[test]
+fn a_lost_call_takes_nobody_elses_time_out_of_the_mean() {
+    let mut server = Server::new(settings());
+    calls_beside_a_silent_one(&mut server, 20);
+    let best_before = server.policy.calls_seen()[4];
+    let begun = silent_call(&mut server);
+    calls_beside_a_silent_one(&mut server, 40);
+    let took = Span::from_ms(server.now - begun);
+    server.at(server.now, &[Event::CallEnded(RequestId(0), CallEnd::Failed, took)]);
+    calls_beside_a_silent_one(&mut server, 1);
+    let [.., of_late, best] = server.policy.calls_seen();
+    assert!((30.0..60.0).contains(&of_late), "{of_late} ms of late");
+    assert!(best > 0.9 * best_before.min(40.0), "{best} ms at best, {best_before} before");
+}
+
+/// Guards the places at the dependency against answers that go missing: once so many overtook a call that it can't be
+/// slow, the next ones are waited for no longer than a long call takes when all are at their slowest.
+#[test]
+fn where_answers_go_missing_calls_are_waited_for_less_long() {
+    let patience = |actions: &[Action]| {
+        actions.iter().find_map(|a| if let Action::Call(_, limit) = a { Some(limit.ms()) } else { None })
+    };
+    let mut server = Server::new(settings());
+    let before = patience(&calls_beside_a_silent_one(&mut server, 20)).expect("a call");
+    silent_call(&mut server);
+    let after = patience(&calls_beside_a_silent_one(&mut server, 40)).expect("a call");
+    // 80 times the best mean of 40 ms, and 6.6 times with what calls stray: never less than a quarter of the aim.
+    assert!(before > 2500.0, "{before} ms");
+    assert!((500.0..1000.0).contains(&after), "{after} ms after, {before} ms before");
+}
