A process with a successor closes its listener at once and ends before the kill

At fault: main.rs treated SIGTERM as the notice to leave whoever else lived. It listened until all was quiet and 2 s had passed, so the kernel went on giving it half of all new connections, and it counted on stop_ms, while the platform kills a replaced process after 3.7 s at most. Ruled out: the accept queue at the closing (it is emptied), the successor (it lost nothing).

Change: two lock files in the scratch folder tell a process whether another lives (seat.rs), a word there whether that one takes clients (crates/service). With such a successor SIGTERM closes the listener at once, keeps health good, leaves the list to the successor, and the module hears Event::Replaced: it goes on as before but answers all before the kill. A third process waits until a seat is free. Rejected: a pid file (a kill leaves it wrong), and trusting a file without its lock.

Still open: memory, descriptors, cores and ledger are not yet split between the two while both live.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -342,6 +342,8 @@
     CallerLeft(RequestId),
     /// The process will be stopped after this long.
     Leaving(Span),
+    /// Another process takes over; this one, which goes on with what it has and what still comes, ends after this long.
+    Replaced(Span),
     /// A wake-up asked for.
     Wake(Gauges),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 mod logic;
 pub mod net;
 pub mod node;
+pub mod seat;
 pub mod wire;
 
 pub use interface::*;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -70,6 +70,9 @@
 /// The long-run best is forgotten over this many of the dependency's spans.
 const BEST_SPANS: f64 = 8.0;
 
+/// A notice to leave that never takes effect.
+const NEVER: Time = Time(i64::MAX / 2);
+
 /// Counts per tenant of requests in flight: never too low, hardly ever too high, no lock.
 pub struct Sketch {
     cells: Box<[AtomicI32]>,
@@ -252,6 +255,7 @@
     rates: Vec<f64>,
     turned: Time,
     limit: f64,
+    /// When it was told that the node leaves, and when the process ends.
     leaving: Option<(Time, Time)>,
     said: f64,
     idle: f64,
@@ -326,6 +330,7 @@
                     self.leaving = Some((now, now + *left));
                     out.push(Action::Health(false));
                 }
+                Event::Replaced(left) => self.leaving = Some((NEVER, now + *left)),
                 Event::Wake(gauges) => self.gauge(gauges),
             }
         }
@@ -881,6 +886,11 @@
         self.seen.memory + self.seen.keys.len() as f64 * self.set.key_kb
     }
 
+    /// The node leaves, and is to be avoided; where the process alone ends, it is not.
+    fn going(&self) -> bool {
+        self.leaving.is_some_and(|(notice, _)| notice <= self.now)
+    }
+
     /// Least share of the full speed that this server has reached.
     fn warmth(&self) -> f64 {
         let age = (self.now - self.seen.born).ms() / self.set.warm_up.ms().max(1.0);
@@ -953,7 +963,7 @@
         let ahead: f64 = self.reqs.values().filter(|r| r.phase == Phase::Held).map(|_| self.mean_run()).sum();
         let over = ahead / self.cores() + self.seen.unread - TARGET * self.seen.mean_aim;
         // Where a mean run outlasts the aim, as at a hang, quick refusals draw callers that go by times.
-        let hopeless = self.leaving.is_some() || self.mean_run() > self.seen.mean_aim;
+        let hopeless = self.going() || self.mean_run() > self.seen.mean_aim;
         let ms = if hopeless { f64::MAX } else { over.max(0.0) };
         Span::from_ms(ms.min(self.set.max_retry_after.ms()))
     }
@@ -984,7 +994,7 @@
         let crawls = self.mean_run() > run * self.seen.mean_aim;
         let room = self.seen.resent < if ill { 3.0 * WALKERS } else { WALKERS };
         let jammed = room && (may && self.seen.unread > line * self.seen.mean_aim || crawls);
-        if jammed != self.seen.jammed && self.leaving.is_none() {
+        if jammed != self.seen.jammed && !self.going() {
             (self.seen.jammed, self.turned) = (jammed, self.now);
             out.push(Action::Health(!jammed));
         }
@@ -1000,7 +1010,7 @@
             FreeValue::Weight => (self.room() / (self.reqs.len() as f64).max(1.0)).min(1.0),
         };
         // Where no list follows health, the value stands in for it.
-        let away = self.leaving.is_some() || self.seen.jammed && !self.set.lists_follow_health;
+        let away = self.going() || self.seen.jammed && !self.set.lists_follow_health;
         let none = if self.set.free_value == FreeValue::Floor { 1.0 } else { 0.0 };
         let value = if away { none } else { value };
         if self.said.is_nan() || (value - self.said).abs() > 0.1 * self.said.max(0.1) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The billing node: reads its configuration, starts the actors, and leaves when told to.
 #![forbid(unsafe_code)]
 
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -9,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use clap::{Parser, Subcommand};
-use crossbeam_channel::{after, bounded, select, Receiver, Sender};
+use crossbeam_channel::{after, bounded, never, select, tick, Receiver, Sender};
 use mothwinch::amqp::Amqp;
 use mothwinch::inventory::{self, InventoryError};
 use mothwinch::net::jsonrpc::Front;
@@ -17,10 +18,11 @@
 use mothwinch::node::config::{Config, ConfigError};
 use mothwinch::node::confinement::CellsError;
 use mothwinch::node::{Board, Confinement, Limits, Module, Msg, Peers};
+use mothwinch::seat::{Seat, Seats};
 use mothwinch_cells_cli::Cells;
 use mothwinch_router::{Config as Router, ConfigError as RouterError, RouterLoop};
 use mothwinch_routing::Rules;
-use mothwinch_service::Step;
+use mothwinch_service::{Beside, State, Step};
 use slog::{info, o, warn, Drain, Logger};
 use socket2::Socket;
 
@@ -183,7 +185,8 @@
     let amqp_log = log.new(o!("actor" => "amqp"));
     let amqp = Amqp::start(queues, (site.clone(), config.seed), &limits, &board, &module, &amqp_log)
         .map_err(system("threads"))?;
-    let front = Front::start(site, &limits, &board, &module, &front_log).map_err(system("threads"))?;
+    let front =
+        Front::start(site.clone(), &limits, &board, &module, &front_log).map_err(system("threads"))?;
     let (to_main, changed) = bounded(1);
     if let Some(listener) = door {
         let door_log = log.new(o!("actor" => "door"));
@@ -206,6 +209,42 @@
         }
     }
 
+    // Where there is a door another process may stand beside this one.
+    let seats = config.door.map(|_| Seats::new(&std::env::temp_dir(), &config.name));
+    // Where the folder can't be used, nobody can stand beside this process by it.
+    let no_seats = Cell::new(seats.is_none());
+    let take_seat = || match seats.as_ref()?.take() {
+        Ok(Some(mut seat)) => {
+            seat.say(board.state());
+            info!(log, "seat"; "number" => seat.number(), "beside" => ?seat.beside());
+            Some(seat)
+        }
+        Ok(None) => None,
+        Err(e) => {
+            no_seats.set(true);
+            warn!(log, "no seat"; "error" => %e);
+            None
+        }
+    };
+    let mut seat = take_seat();
+    let looks = if !no_seats.get() && seat.is_none() { tick(limits.seat_look) } else { never() };
+    let mut up = false;
+    let mut take_clients = |seat: &mut Option<Seat>| -> Result<(), StartError> {
+        if !no_seats.get() && seat.is_none() {
+            // Two others live: this one waits until one of them has gone.
+            return Ok(());
+        }
+        if let Some(clients) = clients.take() {
+            listen(clients).map_err(system("listen"))?;
+        }
+        // Said before the door says so: the platform ends the other process on the door's word.
+        if let Some(seat) = seat {
+            seat.say(State::Serving);
+        }
+        let _ = board.step(Step::Taking);
+        let _ = to_list.try_send(membership::Report::Changed);
+        Ok(())
+    };
     let mut peers = Moves {
         cells,
         executor: (config.executor, to_moves),
@@ -218,11 +257,16 @@
             recv(signals.leave) -> _ => break,
             recv(signals.reload) -> _ => peers.reload(&config.name, config.listen),
             recv(board.up()) -> _ => {
-                if let Some(clients) = clients.take() {
-                    listen(clients).map_err(system("listen"))?;
+                up = true;
+                take_clients(&mut seat)?;
+            }
+            recv(looks) -> _ => {
+                if seat.is_none() && !no_seats.get() {
+                    seat = take_seat();
+                    if up && seat.is_some() {
+                        take_clients(&mut seat)?;
+                    }
                 }
-                let _ = board.step(Step::Taking);
-                let _ = to_list.try_send(membership::Report::Changed);
             }
             recv(changed) -> _ => {
                 let _ = to_list.try_send(membership::Report::Changed);
@@ -231,13 +275,22 @@
         }
     }
     let told = Instant::now();
-    let _ = board.step(Step::Leave { replaced: false });
-    let _ = module.send(Msg::Drain);
+    let replaced = seat.as_mut().map_or(Beside::Nobody, Seat::beside) == Beside::Taking;
+    let _ = board.step(Step::Leave { replaced });
+    if let Some(seat) = &mut seat {
+        seat.say(board.state());
+    }
+    let stop = if replaced { limits.replaced(&site) } else { config.stop };
+    let _ = module.send(if replaced { Msg::Replaced(stop) } else { Msg::Drain });
     let _ = to_list.try_send(membership::Report::Changed);
+    let mut closed = replaced;
+    if replaced {
+        // Who comes from now on is the successor's.
+        front.close();
+    }
     front.farewell();
     amqp.leave();
-    let stop = config.stop.saturating_sub(limits.stop_margin / 4);
-    let mut closed = false;
+    let stop = stop.saturating_sub(limits.stop_margin / 4);
     loop {
         let quiet = front.open() == 0 && board.owed() == 0 && amqp.has_left();
         // Who has not heard of the notice yet still comes; those that are early enough are served.
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -4,6 +4,8 @@
 
 use mothwinch_connections::Bounds;
 
+use crate::wire::Site;
+
 /// See the module's head. Figures that the platform sets are filled in by [`Limits::new`].
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -39,6 +41,8 @@
     pub replaced_deadline: Duration,
     /// See `replaced_deadline`.
     pub replaced_grace: Duration,
+    /// Between tries for a seat, where another process may stand beside this one.
+    pub seat_look: Duration,
     /// Readiness events taken from the poll at once.
     pub front_events: usize,
     /// While the module is this far behind, time between looks at whether it has caught up.
@@ -104,6 +108,12 @@
 }
 
 impl Limits {
+    /// How long a process that was replaced is let live.
+    pub fn replaced(&self, site: &Site) -> Duration {
+        let longest = site.settings.classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
+        Duration::from_micros(longest.unsigned_abs()).min(self.replaced_deadline) + self.replaced_grace
+    }
+
     /// The limits under so many descriptors.
     pub fn new(sockets: usize) -> Limits {
         let database_lanes = 24;
@@ -126,6 +136,7 @@
             door_linger: Duration::from_millis(300),
             replaced_deadline: Duration::from_secs(3),
             replaced_grace: Duration::from_millis(700),
+            seat_look: Duration::from_millis(50),
             front_events: 256,
             front_hold: Duration::from_millis(1),
             front_output_all: 4 * 1024 * 1024,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -52,6 +52,8 @@
     CallDone(RequestId, CallResult, Duration),
     /// The notice to leave.
     Drain,
+    /// Another process of the node has taken over; this one is ended after this long.
+    Replaced(Duration),
 }
 
 /// How the executor says that a run ended.
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -187,3 +187,120 @@
     let said = String::from_utf8_lossy(&output.stderr);
     assert_eq!(said.trim_end(), "mothwinch: configuration: PROXY_ADMIN is no address");
 }
+
+fn taking(node: &Node) {
+    until("there is a door", || node.logged("door").is_some());
+    until("it takes clients", || call(node.door(), b"health\n").starts_with("ok"));
+}
+
+/// A steady load on new and old connections: each request is answered once, whatever process it comes to. Gives the bodies
+/// that were served; a request on a connection that ends with nothing read is sent again, as front ends do.
+fn load(address: SocketAddr, name: &str, stop: &std::sync::atomic::AtomicBool) -> (Vec<String>, usize) {
+    let (mut served, mut unheard, mut n) = (Vec::new(), 0, 0);
+    let mut kept: Option<Front> = None;
+    while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+        n += 1;
+        let body = format!("serve:{name}-{n}");
+        let mut front = kept.take().unwrap_or_else(|| Front::connect(address));
+        let id = front.send("settlement-post", &body);
+        let (mut farewell, mut answer) = (false, front.next());
+        while answer["method"] == "farewell" {
+            farewell = true;
+            answer = front.next();
+        }
+        if answer.is_null() {
+            unheard += 1;
+            continue;
+        }
+        assert_eq!(answer["id"], id);
+        assert_eq!(unbase64(answer["result"]["body"].as_str().expect("served")), format!("done {body}"));
+        served.push(body);
+        // Every other connection is kept, unless its node has said farewell.
+        kept = Some(front).filter(|_| !farewell && n % 2 == 0);
+    }
+    (served, unheard)
+}
+
+/// Replacement under a steady load, twice in a row: every request is answered once, each runs once, none is sent back
+/// unheard, health never turns bad, and the list never hears that the node is out.
+#[test]
+fn a_process_is_replaced_under_load_and_nobody_notices() {
+    let stop = std::sync::atomic::AtomicBool::new(false);
+    let mut node = with_door();
+    let address = node.address;
+    let mut executors = vec![node.executor.clone()];
+    let (served, unheard) = std::thread::scope(|scope| {
+        let loads: Vec<_> = (0..4)
+            .map(|k| {
+                let stop = &stop;
+                scope.spawn(move || load(address, &format!("client{k}"), stop))
+            })
+            .collect();
+        for _ in 0..2 {
+            let next = node.successor();
+            taking(&next);
+            executors.push(next.executor.clone());
+            let mut watcher = node.front();
+            node.terminate();
+            until("the old process is told", || node.log().contains("replaced"));
+            let health = watcher.alive();
+            assert!(health["method"] == "farewell" || health["result"]["ready"] == true, "{health}");
+            drop(watcher);
+            assert_eq!(node.exit().code(), Some(0));
+            assert!(!node.list.heard("HB n3 OUT"));
+            node = next;
+        }
+        stop.store(true, std::sync::atomic::Ordering::SeqCst);
+        let ended = loads.into_iter().map(|load| load.join().expect("a client"));
+        ended.fold((Vec::new(), 0), |(mut all, more), (served, unheard)| {
+            all.extend(served);
+            (all, more + unheard)
+        })
+    });
+    assert!(served.len() > 20, "{} served", served.len());
+    assert_eq!(unheard, 0, "sent back unheard");
+    for body in &served {
+        assert_eq!(executors.iter().map(|e| e.runs(body)).sum::<usize>(), 1, "{body}");
+    }
+}
+
+/// A kill of either in mid-replacement leaves nothing wrong: the other goes on, and the next one finds a seat.
+#[test]
+fn a_kill_of_either_process_leaves_the_other_whole() {
+    let mut first = with_door();
+    // One that dies before it is ready was nobody's successor: the first is asked to leave as any node is.
+    let mut second = first.successor();
+    taking(&second);
+    second.kill();
+    let mut front = first.front();
+    assert_eq!(front.alive()["result"]["ready"], true);
+    let mut third = first.successor();
+    taking(&third);
+    // Two live: another one waits until there is room, and takes clients then.
+    let fourth = first.successor();
+    until("its executor is up", || fourth.log().contains("executor up"));
+    assert_eq!(call(fourth.door(), b"health\n"), "fail starting");
+    first.kill();
+    taking(&fourth);
+    third.terminate();
+    assert_eq!(third.exit().code(), Some(0));
+    assert!(third.log().contains("replaced") && !third.list.heard("HB n3 OUT"));
+    let answer = Front::connect(first.address).ask(READ, "serve:after");
+    assert_eq!(unbase64(answer["result"]["body"].as_str().expect("served")), "done serve:after");
+}
+
+/// What was left in the scratch folder, or lies there from someone else, is not believed: alone, the node leaves as ever.
+#[test]
+fn what_lies_in_the_scratch_folder_is_not_believed() {
+    let stale = [
+        Scratch::new("mothwinch-n3.seat0", "taking clients \n"),
+        Scratch::new("mothwinch-n3.seat1", "taking clients \n"),
+    ];
+    let mut node = with_door();
+    node.terminate();
+    until("it is told", || node.log().contains("notice to leave"));
+    assert!(!node.log().contains("replaced"));
+    until("the list hears of it", || node.list.heard("HB n3 OUT"));
+    assert_eq!(node.exit().code(), Some(0));
+    drop(stale);
+}
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -361,6 +361,7 @@
     pub process: Child,
     log: Arc<Mutex<String>>,
     config: Scratch,
+    settings: Value,
 }
 
 /// What a process takes.
@@ -398,7 +399,11 @@
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.0);
         if let Some(dir) = self.0.parent() {
-            let _ = std::fs::remove_dir(dir);
+            let others = std::fs::read_dir(dir).into_iter().flatten().flatten();
+            // What the nodes themselves leave there goes with the last file of the test's.
+            if others.into_iter().all(|entry| entry.file_name().to_string_lossy().contains(".seat")) {
+                let _ = std::fs::remove_dir_all(dir);
+            }
         }
     }
 }
@@ -413,6 +418,8 @@
     let run = deploy.lines().find_map(|line| line.strip_prefix("run = ")).expect("a command");
     let words = run.trim_matches('"').split(' ').take_while(|word| *word != "exec");
     command.envs(words.filter_map(|word| word.split_once('=')));
+    // The platform's scratch folder: the test's own, which its nodes share.
+    command.env("TMPDIR", config.0.parent().expect("a folder"));
     command.env("PROXY_CONFIG", &config.0).stderr(Stdio::piped()).stdout(Stdio::null()).stdin(Stdio::null());
     command
 }
@@ -445,7 +452,7 @@
         if let Some(cells) = cells {
             command.arg("--cells").arg(&cells.0);
         }
-        let mut node = Node::run(command, (executor, database, list), file);
+        let mut node = Node::run(command, (executor, database, list), file, config["settings"].clone());
         until("the node listens", || node.logged("listening").is_some());
         node.address = node.logged("listening").expect("an address");
         // With another executor, the test itself says what to wait for.
@@ -462,10 +469,16 @@
         let mut config = config(executor.address, database.address, list.address);
         change(&mut config);
         let file = Scratch::new("config.json", &config.to_string());
-        Node::run(command(&file), (executor, database, list), file)
+        let settings = config["settings"].clone();
+        Node::run(command(&file), (executor, database, list), file, settings)
     }
 
-    fn run(mut command: Command, peers: (Executor, Database, List), config: Scratch) -> Node {
+    fn run(
+        mut command: Command,
+        peers: (Executor, Database, List),
+        config: Scratch,
+        settings: Value,
+    ) -> Node {
         let mut process = command.spawn().expect("the program starts");
         let log = Arc::new(Mutex::new(String::new()));
         let (shared, stderr) = (log.clone(), process.stderr.take().expect("a log"));
@@ -476,7 +489,28 @@
         });
         let (executor, database, list) = peers;
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        Node { executor, database, list, address, process, log, config }
+        Node { executor, database, list, address, process, log, config, settings }
+    }
+
+    /// A second process of this node beside it, with an executor and a door of its own.
+    pub fn successor(&self) -> Node {
+        let executor = Executor::start();
+        let peers = (executor, self.database.clone(), self.list.clone());
+        let mut config = config(peers.0.address, peers.1.address, peers.2.address);
+        config["listen"] = json!(self.address);
+        config["admin"] = json!("127.0.0.1:0");
+        config["settings"] = self.settings.clone();
+        // Named by its executor, which no other test has.
+        let file = Scratch::new(&format!("{}.json", peers.0.address.port()), &config.to_string());
+        let settings = config["settings"].clone();
+        let mut node = Node::run(command(&file), peers, file, settings);
+        node.address = self.address;
+        node
+    }
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        self.process.kill().expect("a child");
+        self.process.wait().expect("a child");
     }
 
     /// The address that a line of the log tells with these words before it.
