--- a/src/logic.rs
+++ b/src/logic.rs
@@ -60,7 +60,8 @@
 const CALLS_WHEN_SLOW: f64 = 0.25;
 /// A call is lost past this multiple of their long-run best, well beyond what a slow dependency makes of one.
 const CALL_PATIENCE: f64 = 80.0;
-/// Answers go missing where a call is overtaken by so many for each one in hand; of a slow dependency all are slow.
+/// Answers go missing where a call is overtaken by so many for each one in hand: all calls of a slow
+/// dependency are slow.
 const OVERTAKEN: f64 = 16.0;
 /// Where that is known a call is lost sooner: past what a long one takes when the dependency is this many
 /// times slower than at its best, the most that its record knows ...
@@ -650,8 +651,8 @@
     fn call_ended(&mut self, id: RequestId, end: CallEnd, took: Span, out: &mut Vec<Action>) {
         self.seen.calls_done += 1.0;
         if end == CallEnd::Failed {
-            // A call that failed tells nothing of how long calls take: what it added is taken out again, and that has
-            // faded since. Taken out whole, it would take the time of others with it.
+            // A call that failed tells nothing of how long calls take: what it added is taken out again, as
+            // it has faded since. Taken out whole, it would take the time of others with it.
             self.seen.calls_done -= 1.0;
             let span = self.set.crowd_span.ms();
             let added = span * (1.0 - fade(took.ms(), span));
@@ -743,8 +744,8 @@
         crowded && self.set.below == Below::Shared && self.call_ms() > SLOW_CALLS * doubt * self.call_best
     }
 
-    /// The dependency as this server sees it, for the log: calls in hand, their mean over the span and its limit, ms of
-    /// a call of late and at best.
+    /// The dependency as this server sees it, for the log: calls in hand, their mean over the span and its
+    /// limit, ms of a call of late and at best.
     pub fn calls_seen(&self) -> [f64; 5] {
         [self.in_hand(), self.seen.calls_mean, self.call_limit(), self.call_ms(), self.call_best]
     }
