A process that leaves waits until its front has closed the listener

Seen: in the whole workspace's run tests/service.rs once found no 'replaced' in the log of a process that had ended. Cause: main.rs marked the listener closed when it had only told the front's thread to close it, so a process with nothing open ended at once: before the front had emptied the accept queue, and before the module had logged. Ruled out: the seat's word (the third process had read 'Taking', its list was silent). Lines at fault: 'closed = replaced' and the end's condition.

Change: the front says whether it still listens, and the process ends only once it does not; main itself logs 'replaced'. Measured: tests/service.rs three times in a row and tests/node.rs pass.

--- a/src/main.rs
+++ b/src/main.rs
@@ -281,6 +281,9 @@
         seat.say(board.state());
     }
     let stop = if replaced { limits.replaced(&site) } else { config.stop };
+    if replaced {
+        info!(log, "replaced"; "left_ms" => stop.as_millis() as u64, "owed" => board.owed());
+    }
     let _ = module.send(if replaced { Msg::Replaced(stop) } else { Msg::Drain });
     let _ = to_list.try_send(membership::Report::Changed);
     let mut closed = replaced;
@@ -299,7 +302,9 @@
             front.close();
             front.farewell();
         }
-        if (closed && quiet && front.connections() == 0) || told.elapsed() >= stop {
+        // Until the front has closed its listener, some may wait there whom it has not seen.
+        let gone = closed && !front.listening() && quiet && front.connections() == 0;
+        if gone || told.elapsed() >= stop {
             info!(log, "left"; "owed" => board.owed(), "unwritten" => front.open(),
                 "unsettled" => amqp.unsettled(), "ms" => told.elapsed().as_millis() as u64);
             return Ok(ExitCode::SUCCESS);
--- a/src/net/jsonrpc/events.rs
+++ b/src/net/jsonrpc/events.rs
@@ -178,6 +178,7 @@
             self.accept(now);
         }
         self.listener = None;
+        self.counts.listening.store(false, SeqCst);
     }
 
     fn accept(&mut self, now: Instant) {
--- a/src/net/jsonrpc/mod.rs
+++ b/src/net/jsonrpc/mod.rs
@@ -67,6 +67,8 @@
     /// Connections on which something waits to be written.
     unsent: AtomicUsize,
     connections: AtomicUsize,
+    /// It accepts, or is about to.
+    listening: AtomicBool,
 }
 
 /// The front, as the node's main thread knows it.
@@ -93,12 +95,17 @@
 
     /// Accepts connections here.
     pub fn listen(&self, listener: TcpListener) {
+        self.counts.listening.store(true, SeqCst);
         self.mailbox.tell(Out::Open(listener));
     }
     /// Requests read and not yet answered on the wire, and connections with something left to write.
     pub fn open(&self) -> usize {
         self.counts.open.load(SeqCst) + self.counts.unsent.load(SeqCst)
     }
+    /// Whether some may still wait to be accepted.
+    pub fn listening(&self) -> bool {
+        self.counts.listening.load(SeqCst)
+    }
     /// Open connections.
     pub fn connections(&self) -> usize {
         self.counts.connections.load(SeqCst)
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -258,7 +258,6 @@
             Msg::CallDone(id, result, took) => self.call_done(id, result, took),
             Msg::Replaced(left) => {
                 let left = left.saturating_sub(self.limits.stop_margin);
-                info!(self.log, "replaced"; "left_ms" => left.as_millis() as u64, "owed" => self.board.owed());
                 self.pending.push(Pending::Other(Event::Replaced(Span::from_ms(left.as_secs_f64() * 1e3))));
             }
             Msg::Drain => {
