A message behind a whole one has its own time; small mends from reading the change again

Read again: Session kept the time of the first piece while messages came cut anywhere, so a busy peer could have been parted 2.6 s on with a request half read. Also: main asks Beside::leave for the step, and three descriptions say what is there.

--- a/crates/connections/src/session.rs
+++ b/crates/connections/src/session.rs
@@ -62,6 +62,8 @@
     searched: usize,
     /// Since when what came has held the beginning of a message, and no more.
     begun: Option<Instant>,
+    /// When bytes came last.
+    fed: Instant,
     /// What is to be written; up to `written` it has been.
     output: Vec<u8>,
     written: usize,
@@ -86,6 +88,7 @@
             taken: 0,
             searched: 0,
             begun: None,
+            fed: now,
             output: Vec::new(),
             written: 0,
             stuck: None,
@@ -97,6 +100,7 @@
     /// Bytes came.
     pub fn feed(&mut self, bytes: &[u8], now: Instant) {
         self.begun = self.begun.or(Some(now));
+        self.fed = now;
         self.input.extend_from_slice(bytes);
     }
     /// The next whole line of what came, without its end; none until more comes. A connection that carries nothing
@@ -118,6 +122,8 @@
             return Ok(None);
         };
         (self.taken, self.searched) = (end + 1, end + 1);
+        // What stands behind a whole message is the beginning of another one.
+        self.begun = Some(self.fed);
         let line = &self.input[from..end];
         Ok(Some(line.strip_suffix(b"\r").unwrap_or(line)))
     }
@@ -263,7 +269,8 @@
         })
     }
     /// Its place among those that may go to make room, the first to go first: those told to go, the silent, those
-    /// used by how long nothing came or went, and last those on which a message is coming. None while a request is open on it, or once it goes.
+    /// used by how long nothing came or went, and last those on which a message is coming. None while a request is
+    /// open on it, or once it goes.
     pub fn dispensable(&self) -> Option<(Unused, Instant)> {
         let kind = match () {
             () if self.begun.is_some() => Unused::Writing,
--- a/crates/connections/tests/states.rs
+++ b/crates/connections/tests/states.rs
@@ -150,6 +150,20 @@
     check_steps(check);
 }
 
+/// Guards a busy peer whose messages come cut anywhere: each beginning has its own time, not that of the first.
+#[test]
+fn a_message_behind_a_whole_one_begins_anew() {
+    let (start, bounds) = (Instant::now(), Bounds::new(8));
+    let mut session = Session::new(&bounds, start);
+    session.touch(start);
+    session.feed(b"{", start);
+    assert_eq!(session.line(), Ok(None));
+    let later = start + bounds.whole / 2;
+    session.feed(b"}\n{", later);
+    assert!(session.line() == Ok(Some(b"{}")) && session.line() == Ok(None));
+    assert_eq!(session.due(bounds.write, &bounds), Some(later + bounds.whole));
+}
+
 /// However the bytes of a connection are cut, the same lines come out of it, and none that is too long.
 #[test]
 fn lines_do_not_depend_on_how_they_arrive() {
--- a/src/main.rs
+++ b/src/main.rs
@@ -275,8 +275,9 @@
         }
     }
     let told = Instant::now();
-    let replaced = seat.as_mut().map_or(Beside::Nobody, Seat::beside) == Beside::Taking;
-    let _ = board.step(Step::Leave { replaced });
+    let beside = seat.as_mut().map_or(Beside::Nobody, Seat::beside);
+    let _ = board.step(beside.leave());
+    let replaced = beside == Beside::Taking;
     if let Some(seat) = &mut seat {
         seat.say(board.state());
     }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -33,7 +33,7 @@
     pub door_line: usize,
     /// Callers at the door at once, each one descriptor; the one that has been there the longest goes for a newcomer.
     pub door_callers: usize,
-    /// How long a caller at the door may take for its call, and after the answer to end its side.
+    /// How long a caller at the door may take for its call.
     pub door_wait: Duration,
     /// After an answer at the door, how long its caller may take to read it.
     pub door_linger: Duration,
