Where a process stands among those of its node is one value

Read again: main.rs held it in a cell, two closures and an option, and knew of locks and folders. Standing in seat.rs is alone, waiting or seated, and main asks whether clients may be taken.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,6 @@
 //! The billing node: reads its configuration, starts the actors, and leaves when told to.
 #![forbid(unsafe_code)]
 
-use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -18,7 +17,7 @@
 use mothwinch::node::config::{Config, ConfigError};
 use mothwinch::node::confinement::CellsError;
 use mothwinch::node::{Board, Confinement, Limits, Module, Msg, Peers};
-use mothwinch::seat::{Seat, Seats};
+use mothwinch::seat::Standing;
 use mothwinch_cells_cli::Cells;
 use mothwinch_router::{Config as Router, ConfigError as RouterError, RouterLoop};
 use mothwinch_routing::Rules;
@@ -210,41 +209,11 @@
     }
 
     // Where there is a door another process may stand beside this one.
-    let seats = config.door.map(|_| Seats::new(&std::env::temp_dir(), &config.name));
-    // Where the folder can't be used, nobody can stand beside this process by it.
-    let no_seats = Cell::new(seats.is_none());
-    let take_seat = || match seats.as_ref()?.take() {
-        Ok(Some(mut seat)) => {
-            seat.say(board.state());
-            info!(log, "seat"; "number" => seat.number(), "beside" => ?seat.beside());
-            Some(seat)
-        }
-        Ok(None) => None,
-        Err(e) => {
-            no_seats.set(true);
-            warn!(log, "no seat"; "error" => %e);
-            None
-        }
-    };
-    let mut seat = take_seat();
-    let looks = if !no_seats.get() && seat.is_none() { tick(limits.seat_look) } else { never() };
+    let mut standing =
+        config.door.map_or(Standing::Alone, |_| Standing::new(&std::env::temp_dir(), &config.name));
+    standing.look(board.state(), &log);
+    let looks = if standing.may_take() { never() } else { tick(limits.seat_look) };
     let mut up = false;
-    let mut take_clients = |seat: &mut Option<Seat>| -> Result<(), StartError> {
-        if !no_seats.get() && seat.is_none() {
-            // Two others live: this one waits until one of them has gone.
-            return Ok(());
-        }
-        if let Some(clients) = clients.take() {
-            listen(clients).map_err(system("listen"))?;
-        }
-        // Said before the door says so: the platform ends the other process on the door's word.
-        if let Some(seat) = seat {
-            seat.say(State::Serving);
-        }
-        let _ = board.step(Step::Taking);
-        let _ = to_list.try_send(membership::Report::Changed);
-        Ok(())
-    };
     let mut peers = Moves {
         cells,
         executor: (config.executor, to_moves),
@@ -256,31 +225,29 @@
         select! {
             recv(signals.leave) -> _ => break,
             recv(signals.reload) -> _ => peers.reload(&config.name, config.listen),
-            recv(board.up()) -> _ => {
-                up = true;
-                take_clients(&mut seat)?;
-            }
-            recv(looks) -> _ => {
-                if seat.is_none() && !no_seats.get() {
-                    seat = take_seat();
-                    if up && seat.is_some() {
-                        take_clients(&mut seat)?;
-                    }
-                }
-            }
+            recv(board.up()) -> _ => up = true,
+            recv(looks) -> _ => standing.look(board.state(), &log),
             recv(changed) -> _ => {
                 let _ = to_list.try_send(membership::Report::Changed);
             }
             recv(ended) -> _ => return Ok(ExitCode::FAILURE),
         }
+        if up && standing.may_take() {
+            up = false;
+            if let Some(clients) = clients.take() {
+                listen(clients).map_err(system("listen"))?;
+            }
+            // Said before the door says so: the platform ends the other process on the door's word.
+            standing.say(State::Serving);
+            let _ = board.step(Step::Taking);
+            let _ = to_list.try_send(membership::Report::Changed);
+        }
     }
     let told = Instant::now();
-    let beside = seat.as_mut().map_or(Beside::Nobody, Seat::beside);
+    let beside = standing.beside();
     let _ = board.step(beside.leave());
     let replaced = beside == Beside::Taking;
-    if let Some(seat) = &mut seat {
-        seat.say(board.state());
-    }
+    standing.say(board.state());
     let stop = if replaced { limits.replaced(&site) } else { config.stop };
     if replaced {
         info!(log, "replaced"; "left_ms" => stop.as_millis() as u64, "owed" => board.owed());
--- a/src/seat.rs
+++ b/src/seat.rs
@@ -7,59 +7,64 @@
 use std::path::{Path, PathBuf};
 
 use mothwinch_service::{word, Beside, State, WORD};
+use slog::{info, warn, Logger};
 
-/// The two places.
-pub struct Seats([PathBuf; 2]);
-
-/// The place of this process.
-pub struct Seat {
-    own: File,
-    number: usize,
-    other: PathBuf,
-}
-
-fn open(path: &Path) -> io::Result<File> {
-    OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
+/// Where this process stands among those of its node.
+pub enum Standing {
+    /// By itself: there is no door, so no second process, or the folder can't be used, and none can be seen.
+    Alone,
+    /// Two others live: it waits until one of them has gone.
+    Waiting([PathBuf; 2]),
+    /// At a seat of its own.
+    Seated {
+        /// Its lock, and its word.
+        own: File,
+        /// Where the other one would sit.
+        other: PathBuf,
+    },
 }
 
-impl Seats {
-    /// The places of the node of this name.
-    pub fn new(folder: &Path, name: &str) -> Seats {
+impl Standing {
+    /// Before the first look for a seat of the node of this name.
+    pub fn new(folder: &Path, name: &str) -> Standing {
         // A name is the platform's word and may hold anything.
         let name: String =
             name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
-        Seats([0, 1].map(|n| folder.join(format!("mothwinch-{name}.seat{n}"))))
+        Standing::Waiting([0, 1].map(|n| folder.join(format!("mothwinch-{name}.seat{n}"))))
     }
 
-    /// Takes a free place; none while two others live.
-    pub fn take(&self) -> io::Result<Option<Seat>> {
-        for number in 0..2 {
-            let own = open(&self.0[number])?;
-            match own.try_lock() {
-                Ok(()) => return Ok(Some(Seat { own, number, other: self.0[1 - number].clone() })),
-                Err(TryLockError::WouldBlock) => {}
-                Err(TryLockError::Error(e)) => return Err(e),
+    /// Takes a seat if it waits for one and one is free.
+    pub fn look(&mut self, state: State, log: &Logger) {
+        let Standing::Waiting(seats) = self else { return };
+        match take(seats) {
+            Ok(Some(seated)) => *self = seated,
+            Ok(None) => return,
+            Err(e) => {
+                warn!(log, "no seat"; "error" => %e);
+                *self = Standing::Alone;
             }
         }
-        Ok(None)
+        self.say(state);
+        info!(log, "seat"; "beside" => ?self.beside());
     }
-}
 
-impl Seat {
-    /// Which of the two it is.
-    pub fn number(&self) -> usize {
-        self.number
+    /// Whether this process may take clients.
+    pub fn may_take(&self) -> bool {
+        !matches!(self, Standing::Waiting(_))
     }
 
     /// Writes down what the process beside this one is to know. What can't be written is taken there for one that takes
     /// no clients.
     pub fn say(&mut self, state: State) {
-        let _ = self.own.rewind().and_then(|()| self.own.write_all(&word(state)));
+        if let Standing::Seated { own, .. } = self {
+            let _ = own.rewind().and_then(|()| own.write_all(&word(state)));
+        }
     }
 
     /// What stands beside this process now. Nothing is created for the look.
-    pub fn beside(&mut self) -> Beside {
-        let Ok(mut file) = File::open(&self.other) else { return Beside::Nobody };
+    pub fn beside(&self) -> Beside {
+        let Standing::Seated { other, .. } = self else { return Beside::Nobody };
+        let Ok(mut file) = File::open(other) else { return Beside::Nobody };
         // A shared lock for a moment, let go with the file: two that look at once do not see each other.
         let lives = matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock));
         let mut text = Vec::new();
@@ -67,3 +72,15 @@
         Beside::read(lives, if read.is_ok() { &text } else { b"" })
     }
 }
+
+fn take(seats: &[PathBuf; 2]) -> io::Result<Option<Standing>> {
+    for (seat, other) in [(&seats[0], &seats[1]), (&seats[1], &seats[0])] {
+        let own = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(seat)?;
+        match own.try_lock() {
+            Ok(()) => return Ok(Some(Standing::Seated { own, other: other.clone() })),
+            Err(TryLockError::WouldBlock) => {}
+            Err(TryLockError::Error(e)) => return Err(e),
+        }
+    }
+    Ok(None)
+}
