One on which a message is coming counts as used by its last piece, and goes by that

Seen in the run of the whole workspace: tests/crowd.rs, 'the_silent_and_the_flooding_cost_a_front_end_nothing', failed at the answer's id, and then in 2 of 6 runs: a front end between two requests was told to go while a flood held the slots. Cause: the class Writing went after all that were idle, and a flood leaves half a line after nearly every read, so its connections outranked a true front end's. Ruled out: the stand-in (it got a farewell, as it should print) and the new times.

Change: the class is gone. A message that is coming makes a connection a used one, whose last use is its last piece; who goes among the used is the one on which nothing came the longest, as before.

--- a/crates/connections/src/session.rs
+++ b/crates/connections/src/session.rs
@@ -26,10 +26,8 @@
     Leaving,
     /// Nothing sensible has come on it yet.
     Silent,
-    /// It has been used.
+    /// It has been used, or a message is coming on it.
     Idle,
-    /// A message is coming on it, in pieces.
-    Writing,
 }
 
 /// What time asks of a connection.
@@ -268,18 +266,19 @@
             () => Due::Farewell,
         })
     }
-    /// Its place among those that may go to make room, the first to go first: those told to go, the silent, those
-    /// used by how long nothing came or went, and last those on which a message is coming. None while a request is
-    /// open on it, or once it goes.
+    /// Its place among those that may go to make room, the first to go first: those told to go, the silent, then by
+    /// how long nothing came or went, be it a piece of a message. None while a request is open on it, or once it goes.
     pub fn dispensable(&self) -> Option<(Unused, Instant)> {
         let kind = match () {
-            () if self.begun.is_some() => Unused::Writing,
+            () if self.begun.is_some() => Unused::Idle,
             () if self.farewell => Unused::Leaving,
             () if !self.spoke => Unused::Silent,
             () => Unused::Idle,
         };
         let unused = self.open.is_empty() && !self.parting && !self.closed && !self.ended;
-        unused.then_some((kind, self.used))
+        // A peer that goes on writing must not be taken for one that has stopped.
+        let last = if self.begun.is_some() { self.used.max(self.fed) } else { self.used };
+        unused.then_some((kind, last))
     }
     /// Requests open on it.
     pub fn open(&self) -> usize {
