--- a/tests/service.rs
+++ b/tests/service.rs
@@ -310,11 +310,7 @@
                         front.stream.write_all(piece).expect("it is let write");
                         std::thread::sleep(Duration::from_millis(200));
                     }
-                    let mut answer = front.next();
-                    while answer["method"] == "farewell" {
-                        answer = front.next();
-                    }
-                    answer
+                    front.answer()
                 })
             })
             .collect();
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -616,10 +616,18 @@
             Err(e) => panic!("no message: {e}"),
         }
     }
+    /// The next answer. A farewell may come before it, and ends nothing that is open.
+    pub fn answer(&mut self) -> Value {
+        let mut answer = self.next();
+        while answer["method"] == "farewell" {
+            answer = self.next();
+        }
+        answer
+    }
     /// Sends a request and waits for its answer.
     pub fn ask(&mut self, class: &str, body: &str) -> Value {
         let id = self.send(class, body);
-        let answer = self.next();
+        let answer = self.answer();
         assert_eq!(answer["id"], id);
         answer
     }
