The fleet's view as a machine without I/O, model-checked, and a drawn fleet to play it in

Change: crates/fleet (words, probes, suspicion, exchange, datagrams), crates/fleet-model, crates/lab with plain SWIM, heartbeats and the library foca as baselines. The program is not changed.

--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,161 @@
+//! Measurements on drawn fleets, as tables: `cargo run --release -p mothwinch-lab -- help`.
+#![forbid(unsafe_code)]
+
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use mothwinch_lab::plays::{play, sized, wrongly, Case, CASES};
+use mothwinch_lab::{FocaPeer, Heartbeats, Peer, PlainSwim, ViewPeer};
+
+/// Drawn fleets, measured.
+#[derive(Parser)]
+#[command(name = "mothwinch-lab")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// The hard cases: time until settled, and members wrongly given up.
+    Hard {
+        /// Nodes.
+        #[arg(long, default_value_t = 24)]
+        nodes: usize,
+        /// Plays of each case, with the seeds 1, 2, 3, ...
+        #[arg(long, default_value_t = 20)]
+        plays: u64,
+    },
+    /// What size does: detection, joining, traffic.
+    Sizes {
+        /// Sizes of the fleet.
+        #[arg(long, value_delimiter = ',', default_value = "16,64,256,1024")]
+        nodes: Vec<usize>,
+        /// Plays of each.
+        #[arg(long, default_value_t = 5)]
+        plays: u64,
+        /// Only the shipped view.
+        #[arg(long)]
+        view: bool,
+    },
+    /// Members wrongly given up under loss, or with one slow node.
+    Wrongly {
+        /// Nodes.
+        #[arg(long, default_value_t = 256)]
+        nodes: usize,
+        /// Part of the datagrams that is lost.
+        #[arg(long, default_value_t = 0.2)]
+        loss: f64,
+        /// How late one node does all that it does, in milliseconds at most.
+        #[arg(long, default_value_t = 0)]
+        slow_ms: u64,
+        /// Drawn seconds.
+        #[arg(long, default_value_t = 3600)]
+        seconds: u64,
+        /// Plays.
+        #[arg(long, default_value_t = 1)]
+        plays: u64,
+    },
+}
+
+fn secs(d: Option<Duration>) -> String {
+    d.map_or("never".into(), |d| format!("{:.2}", d.as_secs_f64()))
+}
+
+/// Plays run side by side; each has its own seed, so the order does not matter.
+fn side_by_side<T: Send>(plays: u64, one: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get()) as u64;
+    let mut done: Vec<(u64, T)> = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..threads.min(plays))
+            .map(|w| {
+                let one = &one;
+                scope.spawn(move || {
+                    (0..plays).filter(|p| p % threads == w).map(|p| (p, one(p + 1))).collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        workers.into_iter().flat_map(|w| w.join().unwrap_or_default()).collect()
+    });
+    done.sort_by_key(|(play, _)| *play);
+    done.into_iter().map(|(_, out)| out).collect()
+}
+
+fn hard<P: Peer>(case: Case, nodes: usize, plays: u64) {
+    let all = side_by_side(plays, |seed| play::<P>(case, nodes, seed));
+    let mut times: Vec<Duration> = all.iter().filter_map(|o| o.settled).collect();
+    times.sort();
+    let median = times.get(times.len() / 2).copied();
+    let worst = if times.len() < all.len() { None } else { times.last().copied() };
+    let wrongly: usize = all.iter().map(|o| o.wrongly).sum();
+    println!("| {case:?} | {} | {} | {} | {wrongly} |", P::NAME, secs(median), secs(worst));
+}
+
+fn size<P: Peer>(nodes: usize, plays: u64) {
+    let all: Vec<_> = side_by_side(plays, |seed| sized::<P>(nodes, seed)).into_iter().flatten().collect();
+    let middle = |mut list: Vec<Duration>| {
+        list.sort();
+        (list.get(list.len() / 2).copied(), list.last().copied())
+    };
+    let first = middle(all.iter().filter_map(|o| o.detected.map(|d| d.0)).collect());
+    let last = middle(all.iter().filter_map(|o| o.detected.map(|d| d.1)).collect());
+    let joined = middle(all.iter().filter_map(|o| o.joined).collect());
+    let mean =
+        |f: fn(&mothwinch_lab::plays::Sized) -> f64| all.iter().map(f).sum::<f64>() / all.len().max(1) as f64;
+    println!(
+        "| {nodes} | {} | {} | {} / {} | {} / {} | {:.1} | {:.0} | {} |",
+        P::NAME,
+        secs(first.0),
+        secs(last.0),
+        secs(last.1),
+        secs(joined.0),
+        secs(joined.1),
+        mean(|o| o.datagrams),
+        mean(|o| o.bytes),
+        all.len()
+    );
+}
+
+fn wrong<P: Peer>(nodes: usize, loss: f64, slow: Duration, long: Duration, plays: u64) {
+    let all: Vec<usize> = side_by_side(plays, |seed| wrongly::<P>(nodes, loss, slow, long, seed))
+        .into_iter()
+        .flatten()
+        .collect();
+    println!("| {} | {} | {all:?} |", P::NAME, all.iter().sum::<usize>());
+}
+
+fn main() {
+    match Cli::parse().command {
+        Command::Hard { nodes, plays } => {
+            println!(
+                "| case | | settled, median s | worst s | wrongly gone |\n| --- | --- | --- | --- | --- |"
+            );
+            for case in CASES {
+                hard::<ViewPeer>(case, nodes, plays);
+                hard::<PlainSwim>(case, nodes, plays);
+                hard::<FocaPeer>(case, nodes, plays);
+                hard::<Heartbeats>(case, nodes, plays);
+            }
+        }
+        Command::Sizes { nodes, plays, view } => {
+            println!("| nodes | | first gives up, s | all, median / worst s | joined, median / worst s | datagrams/s | bytes/s | plays |");
+            println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+            for nodes in nodes {
+                size::<ViewPeer>(nodes, plays);
+                if !view {
+                    size::<PlainSwim>(nodes, plays);
+                    size::<FocaPeer>(nodes, plays);
+                    size::<Heartbeats>(nodes, plays);
+                }
+            }
+            println!("a member takes about {} bytes and its name", mothwinch_fleet::View::bytes_a_member());
+        }
+        Command::Wrongly { nodes, loss, slow_ms, seconds, plays } => {
+            let (slow, long) = (Duration::from_millis(slow_ms), Duration::from_secs(seconds));
+            println!("| | wrongly gone | by play |\n| --- | --- | --- |");
+            wrong::<ViewPeer>(nodes, loss, slow, long, plays);
+            wrong::<PlainSwim>(nodes, loss, slow, long, plays);
+            wrong::<FocaPeer>(nodes, loss, slow, long, plays);
+            wrong::<Heartbeats>(nodes, loss, slow, long, plays);
+        }
+    }
+}
