The view on a wire: one UDP socket and thread, the fleet's file, mothwinch fleet status

Need: the view decides and does nothing by itself; nodes need a socket, settings and a way to look. A process that is to replace another stays out until it takes clients; one whose address is still taken gets another and tries for the first each second.

--- /dev/null
+++ b/crates/fleet-wire/src/shell.rs
@@ -0,0 +1,419 @@
+//! The thread: a socket and timers around the view, and what it sees published for everybody else in the process.
+
+use std::collections::BTreeSet;
+use std::hash::{BuildHasher, RandomState};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwap;
+use crossbeam_channel::{bounded, Receiver, Sender};
+use mio::net::UdpSocket;
+use mio::{Events, Interest, Poll, Token, Waker};
+use mothwinch_fleet::packet::LONGEST;
+use mothwinch_fleet::{word, Body, Conclusion, Name, Out, Packet, Record, Said, Standing, View};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slog::{debug, info, warn, Logger};
+
+use crate::config::Config;
+
+const SOCKET: Token = Token(0);
+const WAKER: Token = Token(1);
+/// Datagrams read before timers are looked at again: a flood must not keep the view from speaking.
+const AT_ONCE: usize = 64;
+/// Between two tries for the address that the file names, while another process of the node has it.
+const REBIND: Duration = Duration::from_secs(1);
+/// Between two publications while much changes.
+const PUBLISH: Duration = Duration::from_millis(10);
+/// Between two log lines on datagrams that were dropped.
+const LOG_SELDOM: Duration = Duration::from_secs(10);
+/// Words for the view that wait; more are not said by a process.
+const MAILBOX: usize = 16;
+/// How long the last word may take.
+const LAST: Duration = Duration::from_millis(200);
+
+/// What a view sees, for everybody else in the process. Read without waiting.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Members by name, the gone among them.
+    pub members: Vec<Record>,
+    /// What this node concludes of itself.
+    pub conclusion: Conclusion,
+    /// Equal where two views hold the same.
+    pub digest: u64,
+    /// Members that are there.
+    pub present: usize,
+    /// Members gone without a word.
+    pub lost: usize,
+}
+
+impl Seen {
+    /// The member of this name.
+    pub fn member(&self, name: &str) -> Option<&Record> {
+        let at = self.members.binary_search_by(|r| (*r.name).cmp(name)).ok()?;
+        self.members.get(at)
+    }
+    fn of(view: &View) -> Seen {
+        Seen {
+            members: view.members().cloned().collect(),
+            conclusion: view.conclusion().0,
+            digest: view.digest(),
+            present: view.present(),
+            lost: view.lost(),
+        }
+    }
+}
+
+/// Who a member is.
+#[derive(Clone, Debug)]
+pub struct Me {
+    /// Its name.
+    pub name: Name,
+    /// Where its clients connect; none for one that serves nothing.
+    pub serves: Option<SocketAddr>,
+}
+
+enum Word {
+    Say(Said),
+    Serve(SocketAddr),
+    Config(Box<Config>),
+    /// The last word, or none where another process goes on under the name; told back when it is out.
+    End {
+        silently: bool,
+        done: Sender<()>,
+    },
+}
+
+/// What the rest of the process holds of its view.
+#[derive(Clone)]
+pub struct Handle {
+    /// Where the socket is.
+    pub at: SocketAddr,
+    seen: Arc<ArcSwap<Seen>>,
+    words: Sender<Word>,
+    waker: Arc<Waker>,
+}
+
+impl Handle {
+    /// What the view sees.
+    pub fn seen(&self) -> Arc<Seen> {
+        self.seen.load_full()
+    }
+    /// The state of the process has changed.
+    pub fn say(&self, said: Said) {
+        self.tell(Word::Say(said));
+    }
+    /// Where clients connect is known now.
+    pub fn serve_at(&self, at: SocketAddr) {
+        self.tell(Word::Serve(at));
+    }
+    /// Other seeds and times hold from now on.
+    pub fn reload(&self, config: Config) {
+        self.tell(Word::Config(Box::new(config)));
+    }
+    /// Says the last word, or none where the name goes on with another process, and ends the view.
+    pub fn end(&self, silently: bool) {
+        let (done, ended) = bounded(1);
+        self.tell(Word::End { silently, done });
+        let _ = ended.recv_timeout(LAST);
+    }
+    fn tell(&self, word: Word) {
+        // The thread reads these at once; one that has ended hears nothing.
+        let _ = self.words.send(word);
+        let _ = self.waker.wake();
+    }
+}
+
+struct Shell {
+    config: Config,
+    view: View,
+    poll: Poll,
+    socket: UdpSocket,
+    began: Instant,
+    rng: ChaCha8Rng,
+    words: Receiver<Word>,
+    seen: Arc<ArcSwap<Seen>>,
+    changed: Box<dyn Fn() + Send>,
+    /// Something is to be published, at this time.
+    publish: Option<Instant>,
+    conclusion: Conclusion,
+    /// Another process spoke for the name when this was last looked at.
+    succeeded: bool,
+    /// The address of the file was taken: when it is tried again.
+    rebind: Option<Instant>,
+    dropped: u64,
+    drops_logged: Option<Instant>,
+    log: Logger,
+}
+
+fn socket(at: SocketAddr, poll: &Poll) -> io::Result<UdpSocket> {
+    let mut socket = UdpSocket::bind(at)?;
+    poll.registry().register(&mut socket, SOCKET, Interest::READABLE)?;
+    Ok(socket)
+}
+
+/// Starts a member's view on a thread with this much stack; `changed` is called after each change of what is seen.
+pub fn start(
+    config: Config,
+    me: Me,
+    stack: usize,
+    changed: Box<dyn Fn() + Send>,
+    log: &Logger,
+) -> io::Result<Handle> {
+    let poll = Poll::new()?;
+    let mut rebind = None;
+    let socket = match socket(config.listen, &poll) {
+        // The process that this one replaces still has it; where others are told an address by the file there is no
+        // second one to be had.
+        Err(e) if e.kind() == ErrorKind::AddrInUse && config.advertise.is_none() => {
+            rebind = Some(Instant::now() + REBIND);
+            socket(SocketAddr::new(config.listen.ip(), 0), &poll)?
+        }
+        other => other?,
+    };
+    let at = socket.local_addr()?;
+    let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    // A draw from the machine, as std's hash tables take it.
+    let seed = RandomState::new().hash_one(&me.name);
+    let life = word::life(unix.as_millis() as u64, seed);
+    let record = Record {
+        name: me.name,
+        site: config.site.clone(),
+        at: config.advertise.unwrap_or(at),
+        serves: config.serves.or(me.serves),
+        word: word::Word { life, incarnation: 0, said: Said::Joining, standing: Standing::Present },
+        by: 0,
+    };
+    let view = View::new(
+        config.settings.clone(),
+        config.fleet.clone(),
+        record,
+        config.seeds.clone(),
+        Duration::ZERO,
+    );
+    let seen = Arc::new(ArcSwap::from_pointee(Seen::of(&view)));
+    let (tell, words) = bounded(MAILBOX);
+    let handle = Handle { at, seen: seen.clone(), words: tell, waker };
+    let shell = Shell {
+        conclusion: view.conclusion().0,
+        succeeded: false,
+        config,
+        view,
+        poll,
+        socket,
+        began: Instant::now(),
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        words,
+        seen,
+        changed,
+        publish: None,
+        rebind,
+        dropped: 0,
+        drops_logged: None,
+        log: log.clone(),
+    };
+    std::thread::Builder::new().name("fleet".into()).stack_size(stack).spawn(move || shell.run())?;
+    Ok(handle)
+}
+
+impl Shell {
+    fn run(mut self) {
+        let mut events = Events::with_capacity(4);
+        let mut readable = true;
+        loop {
+            let wait = if readable { Duration::ZERO } else { self.wait() };
+            match self.poll.poll(&mut events, Some(wait)) {
+                Err(e) if e.kind() != ErrorKind::Interrupted => {
+                    warn!(self.log, "fleet: poll"; "error" => %e);
+                    std::thread::sleep(PUBLISH);
+                }
+                _ => {}
+            }
+            readable |= events.iter().any(|e| e.token() == SOCKET);
+            while let Ok(word) = self.words.try_recv() {
+                if self.told(word) {
+                    return;
+                }
+            }
+            if readable {
+                readable = self.read();
+            }
+            let now = self.began.elapsed();
+            if self.view.next() <= now {
+                let mut out = Vec::new();
+                let rng = &mut self.rng;
+                self.view.tick(now, &mut |n| rng.random_range(0..n.max(1)), &mut out);
+                self.carry_out(out);
+            }
+            self.try_rebind();
+            self.publish_if_due();
+        }
+    }
+
+    fn wait(&self) -> Duration {
+        let now = Instant::now();
+        // A look once a minute does no harm where nothing is due.
+        let next = self.view.next().saturating_sub(self.began.elapsed()).min(Duration::from_secs(60));
+        let until = |at: Option<Instant>| at.map_or(next, |at| at.saturating_duration_since(now));
+        next.min(until(self.publish)).min(until(self.rebind))
+    }
+
+    /// A word of this process; true if it was the last.
+    fn told(&mut self, word: Word) -> bool {
+        let now = self.began.elapsed();
+        match word {
+            Word::Say(said) => self.view.say(said, now),
+            Word::Serve(at) => self.view.serve_at(Some(self.config.serves.unwrap_or(at)), now),
+            Word::Config(config) => {
+                let fixed = |c: &Config| (c.fleet.clone(), c.site.clone(), c.listen, c.advertise, c.serves);
+                if fixed(&config) != fixed(&self.config) {
+                    warn!(
+                        self.log,
+                        "fleet, site and addresses of the fleet's file change with a restart only"
+                    );
+                }
+                self.view.set_seeds(config.seeds.clone());
+                self.view.set_settings(config.settings.clone());
+                self.config = *config;
+            }
+            Word::End { silently, done } => {
+                let mut out = Vec::new();
+                if silently {
+                    self.view.hush();
+                } else {
+                    let rng = &mut self.rng;
+                    self.view.leave(now, &mut |n| rng.random_range(0..n.max(1)), &mut out);
+                }
+                self.carry_out(out);
+                let _ = done.try_send(());
+                return true;
+            }
+        }
+        self.soon();
+        false
+    }
+
+    /// Reads what has come, a bounded number of datagrams; true if there may be more.
+    fn read(&mut self) -> bool {
+        let mut bytes = [0; LONGEST + 1];
+        for _ in 0..AT_ONCE {
+            match self.socket.recv_from(&mut bytes) {
+                Ok((n, source)) => match Packet::decode(&bytes[..n], &self.config.fleet) {
+                    Ok(packet) => {
+                        let mut out = Vec::new();
+                        let rng = &mut self.rng;
+                        let mut draw = |n: usize| rng.random_range(0..n.max(1));
+                        self.view.hear(packet, source, self.began.elapsed(), &mut draw, &mut out);
+                        self.carry_out(out);
+                    }
+                    Err(why) => self.drop_one(source, &why),
+                },
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                // A send before this one met a closed port; that member will be found out by its silence.
+                Err(_) => {}
+            }
+        }
+        true
+    }
+
+    fn drop_one(&mut self, source: SocketAddr, why: &dyn std::fmt::Display) {
+        self.dropped += 1;
+        let now = Instant::now();
+        if self.drops_logged.is_none_or(|at| now.duration_since(at) >= LOG_SELDOM) {
+            self.drops_logged = Some(now);
+            warn!(self.log, "datagram dropped"; "from" => %source, "why" => %why, "so_far" => self.dropped);
+        }
+    }
+
+    fn carry_out(&mut self, out: Vec<Out>) {
+        for one in out {
+            match one {
+                Out::Send(to, mut packet) => {
+                    if let Body::Answer { summary, .. } = &mut packet.body {
+                        summary.dropped = self.dropped;
+                    }
+                    // One that is not sent is one that is lost: the view lives with those.
+                    if let Err(e) = self.socket.send_to(&packet.encode(), to) {
+                        debug!(self.log, "datagram not sent"; "to" => %to, "error" => %e);
+                    }
+                }
+                Out::Changed(record) => {
+                    self.log_member(&record);
+                    self.soon();
+                }
+            }
+        }
+        if self.view.succeeded() != self.succeeded {
+            self.succeeded = !self.succeeded;
+            let what = if self.succeeded {
+                "another process has the name"
+            } else {
+                "the name is this process's again"
+            };
+            info!(self.log, "view"; "note" => what);
+        }
+        let conclusion = self.view.conclusion().0;
+        if conclusion != self.conclusion {
+            self.conclusion = conclusion;
+            let sites: BTreeSet<Name> = self.view.sites();
+            let sites: Vec<&str> = sites.iter().map(|s| &**s).collect();
+            info!(self.log, "view"; "conclusion" => conclusion.name(), "present" => self.view.present(),
+                "lost" => self.view.lost(), "sites" => sites.join(" "));
+            self.soon();
+        }
+    }
+
+    fn log_member(&self, record: &Record) {
+        let before = self.seen.load();
+        let before = before.member(&record.name).map(|r| (r.word.life, r.word.said, r.word.standing));
+        let is = (record.word.life, record.word.said, record.word.standing);
+        if before == Some(is) {
+            return;
+        }
+        let standing = match record.word.standing {
+            Standing::Present => "there",
+            Standing::Suspected => "suspected",
+            Standing::Gone => "gone",
+        };
+        // Suspicions come and go by loss alone.
+        if record.word.standing == Standing::Suspected
+            || before.is_some_and(|b| b.2 == Standing::Suspected && is.2 == Standing::Present)
+        {
+            debug!(self.log, "member"; "name" => &*record.name, "says" => ?record.word.said, "is" => standing);
+        } else {
+            info!(self.log, "member"; "name" => &*record.name, "says" => ?record.word.said, "is" => standing,
+                "at" => %record.at, "life" => record.word.life);
+        }
+    }
+
+    fn soon(&mut self) {
+        self.publish.get_or_insert_with(Instant::now);
+    }
+    fn publish_if_due(&mut self) {
+        let now = Instant::now();
+        if self.publish.is_some_and(|at| at <= now) {
+            self.publish = None;
+            self.seen.store(Arc::new(Seen::of(&self.view)));
+            (self.changed)();
+        }
+    }
+
+    fn try_rebind(&mut self) {
+        let now = Instant::now();
+        if self.rebind.is_none_or(|at| at > now) {
+            return;
+        }
+        match socket(self.config.listen, &self.poll) {
+            Ok(socket) => {
+                (self.socket, self.rebind) = (socket, None);
+                self.view.move_to(self.config.listen, self.began.elapsed());
+                info!(self.log, "fleet"; "at" => %self.config.listen);
+                self.soon();
+            }
+            Err(_) => self.rebind = Some(now + REBIND),
+        }
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -55,6 +55,9 @@
         /// Plays.
         #[arg(long, default_value_t = 1)]
         plays: u64,
+        /// Beside it heartbeats from all to all, which take by far the longest to play.
+        #[arg(long)]
+        heartbeats: bool,
     },
 }
 
@@ -149,13 +152,15 @@
             }
             println!("a member takes about {} bytes and its name", mothwinch_fleet::View::bytes_a_member());
         }
-        Command::Wrongly { nodes, loss, slow_ms, seconds, plays } => {
+        Command::Wrongly { nodes, loss, slow_ms, seconds, plays, heartbeats } => {
             let (slow, long) = (Duration::from_millis(slow_ms), Duration::from_secs(seconds));
             println!("| | wrongly gone | by play |\n| --- | --- | --- |");
             wrong::<ViewPeer>(nodes, loss, slow, long, plays);
             wrong::<PlainSwim>(nodes, loss, slow, long, plays);
             wrong::<FocaPeer>(nodes, loss, slow, long, plays);
-            wrong::<Heartbeats>(nodes, loss, slow, long, plays);
+            if heartbeats {
+                wrong::<Heartbeats>(nodes, loss, slow, long, plays);
+            }
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 mod interface;
 pub mod inventory;
 mod logic;
+pub mod member;
 pub mod net;
 pub mod node;
 pub mod seat;
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 use crossbeam_channel::{after, bounded, never, select, tick, Receiver, Sender};
 use mothwinch::amqp::Amqp;
 use mothwinch::inventory::{self, InventoryError};
+use mothwinch::member::Member;
 use mothwinch::net::jsonrpc::Front;
 use mothwinch::net::{database, door, executor, membership, spawn, take_address, Address};
 use mothwinch::node::config::{Config, ConfigError};
@@ -19,6 +20,8 @@
 use mothwinch::node::{Board, Confinement, Limits, Module, Msg, Peers};
 use mothwinch::seat::Standing;
 use mothwinch_cells_cli::Cells;
+use mothwinch_fleet_cli::Fleet;
+use mothwinch_fleet_wire as fleet;
 use mothwinch_router::{Config as Router, ConfigError as RouterError, RouterLoop};
 use mothwinch_routing::Rules;
 use mothwinch_service::{Beside, State, Step};
@@ -35,6 +38,9 @@
     /// The file of cells, in JSON5: the node refuses tenants of other cells. SIGHUP reads it again.
     #[arg(long, value_name = "FILE")]
     cells: Option<PathBuf>,
+    /// The fleet's file, in JSON5: the node keeps a view of the other nodes. SIGHUP reads it again.
+    #[arg(long, value_name = "FILE")]
+    fleet: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -44,6 +50,9 @@
     /// Check, show and plan cells: which nodes serve which tenants.
     #[command(subcommand)]
     Cells(Cells),
+    /// Show what members of a fleet see of each other.
+    #[command(subcommand)]
+    Fleet(Fleet),
     /// Carry requests to the nodes of each tenant's cell. SIGHUP reads the file of cells again.
     Route {
         /// The router's file, in JSON5.
@@ -55,13 +64,19 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match &cli.command {
-        None => serve(cli.inventory.as_deref(), cli.cells.as_deref()).map_err(|e| e.to_string()),
+        None => serve(&cli).map_err(|e| e.to_string()),
         Some(Command::Cells(command)) => {
             mothwinch_cells_cli::run(command).map_err(|e| e.to_string()).map(|text| {
                 print!("{text}");
                 ExitCode::SUCCESS
             })
         }
+        Some(Command::Fleet(command)) => {
+            mothwinch_fleet_cli::run(command).map_err(|e| e.to_string()).map(|text| {
+                print!("{text}");
+                ExitCode::SUCCESS
+            })
+        }
         Some(Command::Route { file }) => route(file).map_err(|e| e.to_string()),
     };
     done.unwrap_or_else(|e| {
@@ -107,6 +122,7 @@
     Config(ConfigError),
     Inventory(InventoryError),
     Cells(CellsError),
+    Fleet(fleet::ConfigError),
     Router(RouterError),
     System(&'static str, io::Error),
 }
@@ -116,6 +132,7 @@
             StartError::Config(e) => write!(f, "{e}"),
             StartError::Inventory(e) => write!(f, "{e}"),
             StartError::Cells(e) => write!(f, "{e}"),
+            StartError::Fleet(e) => write!(f, "{e}"),
             StartError::Router(e) => write!(f, "{e}"),
             StartError::System(what, e) => write!(f, "{what}: {e}"),
         }
@@ -128,8 +145,10 @@
     Logger::root(drain, o!("node" => name.to_string()))
 }
 
-fn serve(inventory: Option<&Path>, cells: Option<&Path>) -> Result<ExitCode, StartError> {
+fn serve(cli: &Cli) -> Result<ExitCode, StartError> {
+    let (inventory, cells) = (cli.inventory.as_deref(), cli.cells.as_deref());
     let config = Config::from_env().map_err(StartError::Config)?;
+    let in_fleet = cli.fleet.as_deref().map(fleet::Config::read).transpose().map_err(StartError::Fleet)?;
     let mut limits = Limits::new(config.sockets);
     let env = |name: &str| std::env::var(name).ok();
     let queues = inventory.map_or(Ok(Vec::new()), |file| inventory::read(file, &config.site, &limits, env));
@@ -193,18 +212,20 @@
             door::start(listener, &board, to_main.clone(), &limits, &door_log).map_err(system("door"))?;
         info!(log, "door"; "at" => %at);
     }
-    let listen = |clients: Socket| -> io::Result<()> {
+    let listen = |clients: Socket| -> io::Result<SocketAddr> {
         clients.listen(limits.backlog)?;
         let listener = TcpListener::from(clients);
-        info!(log, "listening"; "at" => %listener.local_addr()?);
+        let at = listener.local_addr()?;
+        info!(log, "listening"; "at" => %at);
         front.listen(listener);
-        Ok(())
+        Ok(at)
     };
     // Where another process may serve at this address, clients must not come here before they can be served.
     let mut clients = Some(clients);
+    let mut serves = None;
     if config.door.is_none() {
         if let Some(clients) = clients.take() {
-            listen(clients).map_err(system("listen"))?;
+            serves = Some(listen(clients).map_err(system("listen"))?);
         }
     }
 
@@ -212,6 +233,11 @@
     let mut standing =
         config.door.map_or(Standing::Alone, |_| Standing::new(&std::env::temp_dir(), &config.name));
     standing.look(board.state(), &log);
+    let mut member = Member::new(in_fleet, cli.fleet.as_deref(), &config.name, &limits, &log);
+    // One that is to replace another stays out of the fleet until it takes clients: the name is the other's so long.
+    if standing.beside() != Beside::Taking {
+        member.join(board.state(), serves).map_err(system("fleet"))?;
+    }
     let looks = if standing.may_take() { never() } else { tick(limits.seat_look) };
     let mut up = false;
     let mut peers = Moves {
@@ -224,22 +250,27 @@
     loop {
         select! {
             recv(signals.leave) -> _ => break,
-            recv(signals.reload) -> _ => peers.reload(&config.name, config.listen),
+            recv(signals.reload) -> _ => {
+                peers.reload(&config.name, config.listen);
+                member.reload();
+            }
             recv(board.up()) -> _ => up = true,
             recv(looks) -> _ => standing.look(board.state(), &log),
             recv(changed) -> _ => {
                 let _ = to_list.try_send(membership::Report::Changed);
+                member.say(board.state());
             }
             recv(ended) -> _ => return Ok(ExitCode::FAILURE),
         }
         if up && standing.may_take() {
             up = false;
             if let Some(clients) = clients.take() {
-                listen(clients).map_err(system("listen"))?;
+                serves = Some(listen(clients).map_err(system("listen"))?);
             }
             // Said before the door says so: the platform ends the other process on the door's word.
             standing.say(State::Serving);
             let _ = board.step(Step::Taking);
+            member.join(board.state(), serves).map_err(system("fleet"))?;
             let _ = to_list.try_send(membership::Report::Changed);
         }
     }
@@ -252,6 +283,10 @@
     if replaced {
         info!(log, "replaced"; "left_ms" => stop.as_millis() as u64, "owed" => board.owed());
     }
+    // Of a node that goes on under a successor nothing is said.
+    if !replaced {
+        member.say(board.state());
+    }
     let _ = module.send(if replaced { Msg::Replaced(stop) } else { Msg::Drain });
     let _ = to_list.try_send(membership::Report::Changed);
     let mut closed = replaced;
@@ -275,6 +310,7 @@
         if gone || told.elapsed() >= stop {
             info!(log, "left"; "owed" => board.owed(), "unwritten" => front.open(),
                 "unsettled" => amqp.unsettled(), "ms" => told.elapsed().as_millis() as u64);
+            member.end(replaced);
             return Ok(ExitCode::SUCCESS);
         }
         select! {
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,86 @@
+//! The node as a member of its fleet: what the main thread tells the view, and when.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use mothwinch_fleet::Said;
+use mothwinch_fleet_wire as fleet;
+use mothwinch_service::State;
+use slog::{info, o, warn, Logger};
+
+use crate::node::Limits;
+
+/// The node as a member of its fleet, where a file says that there is one.
+pub struct Member {
+    config: Option<fleet::Config>,
+    file: Option<PathBuf>,
+    name: String,
+    stack: usize,
+    handle: Option<fleet::Handle>,
+    log: Logger,
+}
+
+impl Member {
+    /// No member yet. Without a file it never becomes one, and nothing is started.
+    pub fn new(
+        config: Option<fleet::Config>,
+        file: Option<&Path>,
+        name: &str,
+        limits: &Limits,
+        log: &Logger,
+    ) -> Member {
+        let log = log.new(o!("actor" => "fleet"));
+        Member {
+            config,
+            file: file.map(Path::to_path_buf),
+            name: name.into(),
+            stack: limits.stack,
+            handle: None,
+            log,
+        }
+    }
+    /// Becomes a member if it is none yet, and says how the process stands.
+    pub fn join(&mut self, state: State, serves: Option<SocketAddr>) -> io::Result<()> {
+        if let (None, Some(config)) = (&self.handle, self.config.take()) {
+            let me = fleet::Me { name: self.name.as_str().into(), serves: None };
+            let handle = fleet::start(config, me, self.stack, Box::new(|| {}), &self.log)?;
+            info!(self.log, "fleet"; "at" => %handle.at);
+            self.handle = Some(handle);
+        }
+        if let (Some(handle), Some(at)) = (&self.handle, serves) {
+            handle.serve_at(at);
+        }
+        self.say(state);
+        Ok(())
+    }
+    /// The process stands so.
+    pub fn say(&self, state: State) {
+        let said = match state {
+            State::Starting { .. } => Said::Joining,
+            State::Serving => Said::Up,
+            State::Quiesced => Said::Quiesced,
+            State::Leaving { .. } => Said::Leaving,
+        };
+        if let Some(handle) = &self.handle {
+            handle.say(said);
+        }
+    }
+    /// Reads the fleet's file again; one that can't be used changes nothing.
+    pub fn reload(&self) {
+        let (Some(handle), Some(file)) = (&self.handle, &self.file) else { return };
+        match fleet::Config::read(file) {
+            Ok(config) => {
+                info!(self.log, "fleet's file read again"; "seeds" => config.seeds.len());
+                handle.reload(config);
+            }
+            Err(e) => warn!(self.log, "the new fleet's file is not used"; "error" => %e),
+        }
+    }
+    /// The last word, or none where the name goes on with a successor.
+    pub fn end(&self, silently: bool) {
+        if let Some(handle) = &self.handle {
+            handle.end(silently);
+        }
+    }
+}
