A rig of processes with faults on every directed link, and the view's hard cases played on it

Need: the operators ask for tests that start several processes and put faults between them; the stand-ins stood in tests/ and nothing lay between two processes. Change: crates/stand-ins (moved out of tests/), crates/rig (links pure and seeded, a switch of sockets on loopback, the processes, plays in JSON5, a timeline), 'mothwinch faults FILE', tests/fleet.rs. Places off loopback are refused. In a fleet of six cut in halves a suspicion ran 10.7 s as three further accusers were waited for where a side has two (play deploy/plays/halves.json5, '{"event":"reached","ms":11742,"what":{"ms":10720'): as many are wanted now as an even split leaves.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -525,8 +525,8 @@
         if is.standing == Standing::Suspected {
             let members = self.present();
             let least = self.settings.least_suspicion(members);
-            // In a small fleet there may be nobody else to share it.
-            let wanted = self.settings.accusers.min(members.saturating_sub(3) as u32);
+            // In a small fleet there may be nobody else to share it: an even split leaves so many on each side.
+            let wanted = self.settings.accusers.min((members / 2).saturating_sub(1) as u32);
             let most = least.mul_f64(self.settings.suspicion_most);
             if let Some(member) = self.table.get_mut(&name) {
                 member.suspicion = Some(Box::new(Suspicion::new(now, least, most, wanted, by)));
--- /dev/null
+++ b/crates/rig/src/demo.rs
@@ -0,0 +1,1 @@
+//! To come: see below.
--- /dev/null
+++ b/crates/rig/tests/links.rs
@@ -0,0 +1,72 @@
+//! What links do, without sockets; and plays that can't be used.
+
+use std::time::Duration;
+
+use mothwinch_rig::links::Stream;
+use mothwinch_rig::script::Script;
+use mothwinch_rig::{Links, Switch};
+use proptest::prelude::*;
+
+proptest! {
+    /// Guards plays: what happens on one link does not change what another does, and equal seeds do the same.
+    #[test]
+    fn links_draw_for_themselves(seed in any::<u64>(), others in 0usize..20) {
+        let lossy = |links: &mut Links| links.change_all(|l| (l.loss, l.double) = (0.3, 0.3));
+        let (mut one, mut two) = (Links::new(seed), Links::new(seed));
+        lossy(&mut one);
+        lossy(&mut two);
+        (0..others).for_each(|_| drop(two.datagram("c", "a")));
+        for _ in 0..50 {
+            prop_assert_eq!(one.datagram("a", "b"), two.datagram("a", "b"));
+        }
+    }
+
+    #[test]
+    fn delays_stay_within_their_bounds(least in 0u64..50, more in 0u64..50) {
+        let mut links = Links::new(1);
+        let (least, most) = (Duration::from_millis(least), Duration::from_millis(least + more));
+        links.change("a", "b", |l| l.delay = (least, most));
+        for copy in (0..50).flat_map(|_| links.datagram("a", "b")) {
+            prop_assert!((least..=most).contains(&copy.after));
+        }
+    }
+}
+
+#[test]
+fn silence_is_one_way_and_cuts_end_only_what_is_open() {
+    let mut links = Links::new(1);
+    links.change("a", "b", |l| l.silent = true);
+    assert!(links.datagram("a", "b").is_empty() && links.datagram("b", "a").len() == 1);
+    let began = links.begin("b", "a");
+    assert_eq!(links.stream("a", "b", 0), Stream::Stall);
+    assert_eq!(links.stream("b", "a", began), Stream::Pass(Duration::ZERO));
+    links.cut("b", "a");
+    assert_eq!(links.stream("b", "a", began), Stream::Cut);
+    let later = links.begin("b", "a");
+    assert_eq!(links.stream("b", "a", later), Stream::Pass(Duration::ZERO));
+}
+
+#[test]
+fn places_off_this_machine_are_refused() {
+    let switch = Switch::new(1).expect("sockets");
+    assert!(switch.hears("n0", "192.0.2.1:7946".parse().expect("an address")).is_err());
+    assert!(switch.serves("n0", "0.0.0.0:80".parse().expect("an address")).is_err());
+    assert!(switch.hears("n0", "127.0.0.1:7946".parse().expect("an address")).is_ok());
+}
+
+#[test]
+fn plays_that_can_not_be_used_are_told_with_their_place() {
+    let good = "{ version: 1, nodes: 2, steps: [{ start: [\"*\"] }, { settled: 1000 }, \"heal\", { links: { loss: 0.5 } }] }";
+    assert_eq!(Script::parse("f", good).expect("it can be used").steps.len(), 4);
+    let cases = [
+        ("version: 1", "version: 3", "f: version: 3 is not known here: 1 is"),
+        ("nodes: 2", "nodes: 1000", "f: nodes: is not from 1 to 64"),
+        ("[\"*\"]", "[\"n2\"]", "f: steps[0]: n2 is no node of this play"),
+        ("loss: 0.5", "loss: 5", "f: steps[3]: a part is not from 0 to 1"),
+    ];
+    for (from, to, says) in cases {
+        assert_eq!(Script::parse("f", &good.replace(from, to)).expect_err(to).to_string(), says);
+    }
+    let error = Script::parse("f", &good.replace("start", "begin")).expect_err("unknown").to_string();
+    assert!(error.starts_with("f:1:") && error.contains("begin"), "{error}");
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -53,6 +53,12 @@
     /// Show what members of a fleet see of each other.
     #[command(subcommand)]
     Fleet(Fleet),
+    /// Start nodes with stand-ins on loopback, put faults between them, and tell what happens as lines of JSON.
+    Faults {
+        /// The play, in JSON5.
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
     /// Carry requests to the nodes of each tenant's cell. SIGHUP reads the file of cells again.
     Route {
         /// The router's file, in JSON5.
@@ -77,6 +83,10 @@
                 ExitCode::SUCCESS
             })
         }
+        Some(Command::Faults { file }) => mothwinch_rig::script::Script::read(file)
+            .and_then(|play| play.play(true))
+            .map(|_| ExitCode::SUCCESS)
+            .map_err(|e| e.to_string()),
         Some(Command::Route { file }) => route(file).map_err(|e| e.to_string()),
     };
     done.unwrap_or_else(|e| {
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,367 @@
+//! The fleet's view with processes of the program and faults between them. A small set runs always; the hard cases at 24
+//! nodes and at the usual pace by `cargo test --release --test fleet -- --ignored --nocapture --test-threads 1`.
+
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+use std::time::{Duration, Instant};
+
+use mothwinch_fleet::word::Word;
+use mothwinch_fleet::{Body, Packet, Record, Said, Standing};
+use mothwinch_rig::{Plan, Rig};
+use mothwinch_stand_ins::until;
+use serde_json::json;
+
+/// The most that any fleet here may take to settle.
+const MOST: Duration = Duration::from_secs(40);
+
+fn names(numbers: impl IntoIterator<Item = usize>) -> Vec<String> {
+    numbers.into_iter().map(|n| format!("n{n}")).collect()
+}
+fn strs(names: &[String]) -> Vec<&str> {
+    names.iter().map(String::as_str).collect()
+}
+
+/// Nodes that were started at once, with periods of so many milliseconds; they have not met yet.
+fn started(count: usize, period_ms: u64, seeds: &[&str]) -> Rig {
+    started_as(count, period_ms, seeds, false)
+}
+/// The same without the switch before them where they are to be open.
+fn started_as(count: usize, period_ms: u64, seeds: &[&str], open: bool) -> Rig {
+    let mut rig = Rig::new(7).expect("sockets");
+    for n in 0..count {
+        let fleet = format!("period_ms: {period_ms},");
+        rig.plan(Plan { fleet, open, ..Plan::node(n) }).expect("sockets");
+    }
+    rig.seeds(seeds);
+    let all = rig.names();
+    all.iter().for_each(|n| rig.start(n));
+    rig.up(&strs(&all));
+    rig
+}
+fn fleet(count: usize, period_ms: u64) -> Rig {
+    let rig = started(count, period_ms, &["n0", "n1"]);
+    rig.settle(MOST);
+    rig
+}
+/// Whether every one of these holds none of those.
+fn gave_up(rig: &Rig, those: &[String]) -> bool {
+    rig.names().iter().filter(|n| rig.runs(n) && !those.contains(n)).all(|n| {
+        rig.told(n).is_some_and(|t| {
+            !t.members.iter().any(|r| r.word.present() && those.iter().any(|x| **x == *r.name))
+        })
+    })
+}
+/// Who is held to be gone by anybody.
+fn gone(rig: &Rig) -> BTreeSet<String> {
+    let tell = |n: &String| rig.told(n).map_or(vec![], |t| t.members);
+    let all: Vec<Record> = rig.names().iter().filter(|n| rig.runs(n)).flat_map(tell).collect();
+    all.iter().filter(|r| r.word.standing == Standing::Gone).map(|r| r.name.to_string()).collect()
+}
+fn conclusion(rig: &Rig, name: &str) -> String {
+    rig.told(name).map_or("silent".into(), |t| t.summary.conclusion.to_string())
+}
+
+// ---- the hard cases, for any size and pace ----
+
+fn seed_down(count: usize, period: u64) -> Duration {
+    started(count, period, &["n0", "nobody"]).settle(MOST)
+}
+fn third_killed(count: usize, period: u64) -> Duration {
+    let mut rig = fleet(count, period);
+    names((0..count).filter(|n| n % 3 == 2)).iter().for_each(|n| rig.kill(n));
+    rig.settle(MOST)
+}
+/// Cut into so many parts until all is given up, then healed.
+fn parted(count: usize, period: u64, part: impl Fn(usize) -> usize, parts: usize) -> Duration {
+    let mut rig = fleet(count, period);
+    let of: Vec<Vec<String>> = (0..parts).map(|p| names((0..count).filter(|n| part(*n) == p))).collect();
+    rig.partition(&of);
+    rig.settle(MOST);
+    for side in &of {
+        let wanted = match () {
+            () if side.len() == 1 => "alone",
+            () if side.len() * 2 > count => "whole",
+            () => "part",
+        };
+        assert_eq!(conclusion(&rig, &side[0]), wanted, "{side:?}");
+    }
+    rig.heal();
+    let took = rig.settle(MOST);
+    assert_eq!(conclusion(&rig, "n0"), "whole");
+    took
+}
+fn one_way(count: usize, period: u64, deaf: bool) -> Duration {
+    let mut rig = fleet(count, period);
+    let (one, rest) = (names([1]), names((0..count).filter(|n| *n != 1)));
+    if deaf {
+        rig.silence(&rest, &one);
+    } else {
+        rig.silence(&one, &rest);
+    }
+    rig.wait("it is given up", MOST, |rig| gave_up(rig, &one)).expect("it is given up");
+    if deaf {
+        rig.wait("it knows that it is alone", MOST, |rig| conclusion(rig, "n1") == "alone")
+            .expect("it hears nobody");
+    }
+    assert_eq!(
+        gone(&rig).len(),
+        if deaf { count } else { 1 },
+        "nobody else is given up, but by the deaf one"
+    );
+    rig.heal();
+    rig.settle(MOST)
+}
+fn replaced_while_parted(count: usize, period: u64) -> Duration {
+    let mut rig = fleet(count, period);
+    rig.partition(&[names((0..count).filter(|n| n % 2 == 0)), names((0..count).filter(|n| n % 2 == 1))]);
+    rig.settle(MOST);
+    for name in names(2..4) {
+        rig.kill(&name);
+        rig.start(&name);
+        rig.up(&[&name]);
+    }
+    rig.settle(MOST);
+    rig.heal();
+    rig.settle(MOST)
+}
+fn lossy(count: usize, period: u64, long: Duration) {
+    let mut rig = fleet(count, period);
+    rig.weather(json!("a fifth lost, up to 20 ms"), |link| {
+        (link.loss, link.double) = (0.2, 0.05);
+        link.delay = (Duration::from_millis(1), Duration::from_millis(20));
+    });
+    let end = Instant::now() + long;
+    while Instant::now() < end {
+        assert_eq!(gone(&rig), BTreeSet::new());
+    }
+    rig.heal();
+    rig.settle(MOST);
+}
+fn stopped(count: usize, period: u64) -> Duration {
+    let mut rig = fleet(count, period);
+    rig.stop("n1");
+    rig.wait("it is given up", MOST, |rig| {
+        let others = names((0..count).filter(|n| *n != 1));
+        others.iter().all(|n| {
+            rig.told(n).is_some_and(|t| !t.members.iter().any(|r| &*r.name == "n1" && r.word.present()))
+        })
+    })
+    .expect("it is given up");
+    rig.resume("n1");
+    let took = rig.settle(MOST);
+    // Awake, it accused nobody of what it had missed.
+    assert_eq!(gone(&rig), BTreeSet::new());
+    took
+}
+fn restarted(count: usize, period: u64) -> Duration {
+    let mut rig = fleet(count, period);
+    let life = rig.told("n1").expect("it answers").me.word.life;
+    rig.kill("n1");
+    rig.start("n1");
+    rig.up(&["n1"]);
+    let took = rig.settle(MOST);
+    let held = rig.told("n0").expect("it answers").members.into_iter().find(|r| &*r.name == "n1");
+    assert!(held.is_some_and(|r| r.word.life > life));
+    took
+}
+fn rolling(count: usize, period: u64) -> Duration {
+    let mut rig = fleet(count, period);
+    for name in rig.names() {
+        rig.end(&name);
+        rig.start(&name);
+        rig.up(&[&name]);
+        rig.wait("it is back", MOST, |rig| {
+            rig.told(&name).is_some_and(|t| t.summary.present == count as u32)
+        })
+        .expect("it is back");
+    }
+    rig.settle(MOST)
+}
+
+// ---- the small set ----
+
+#[test]
+fn a_fleet_meets_though_a_seed_is_down_and_gives_up_those_that_are_killed() {
+    seed_down(6, 200);
+    third_killed(6, 200);
+}
+
+#[test]
+fn parts_know_what_they_are_and_meet_again() {
+    parted(6, 200, |n| n % 2, 2);
+    parted(7, 200, |n| usize::from(n == 3), 2);
+}
+
+#[test]
+fn one_way_silence_harms_only_the_one() {
+    one_way(5, 200, true);
+    one_way(5, 200, false);
+}
+
+#[test]
+fn those_replaced_on_both_sides_of_a_cut_are_known_afterwards() {
+    replaced_while_parted(6, 200);
+}
+
+#[test]
+fn loss_and_delay_give_nobody_up() {
+    lossy(6, 200, Duration::from_secs(8));
+}
+
+#[test]
+fn one_that_was_stopped_and_one_that_starts_anew_are_taken_back() {
+    stopped(5, 200);
+    restarted(5, 200);
+    rolling(4, 200);
+}
+
+/// What was said in an earlier life and comes late changes nothing, however grave; garbled and foreign datagrams at full
+/// rate are counted and dropped, and the node serves on.
+#[test]
+fn late_forged_and_garbled_datagrams_do_no_harm() {
+    let mut rig = fleet(4, 200);
+    rig.kill("n2");
+    rig.start("n2");
+    rig.up(&["n2"]);
+    rig.settle(MOST);
+    let held =
+        rig.told("n0").expect("it answers").members.into_iter().find(|r| &*r.name == "n2").expect("held");
+    let late = |said, standing, incarnation| {
+        let word = Word { life: held.word.life - 1, incarnation, said, standing };
+        let news = vec![Record { word, ..held.clone() }];
+        Packet { fleet: "rig".into(), from: None, body: Body::Gossip, news }.encode()
+    };
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback");
+    let at = rig.node("n0").logged("fleet").expect("logged");
+    let whole = late(Said::Up, Standing::Gone, 1 << 30);
+    for said in [Said::Left, Said::Quiesced, Said::Up] {
+        socket.send_to(&late(said, Standing::Suspected, 9), at).expect("sent");
+    }
+    socket.send_to(&whole, at).expect("sent");
+    let mut sent = 0;
+    for i in 0..20_000usize {
+        let mut bytes = whole.clone();
+        let place = i % bytes.len();
+        bytes[place] ^= 1 + (i % 255) as u8;
+        sent += usize::from(socket.send_to(&bytes, at).is_ok());
+        if i % 64 == 0 {
+            // The socket's buffer holds a few hundred of them: so fast as they are read, no faster.
+            let seen = rig.told("n0").expect("it answers in the flood");
+            assert_eq!((seen.summary.present, seen.summary.lost), (4, 0));
+        }
+    }
+    let seen = rig.told("n0").expect("it answers");
+    assert!(
+        seen.summary.dropped > 1000 && seen.summary.dropped <= sent as u64,
+        "{} of {sent}",
+        seen.summary.dropped
+    );
+    let now = seen.members.into_iter().find(|r| &*r.name == "n2").expect("held");
+    assert_eq!(now.word, held.word);
+    let mut front = rig.front("n0");
+    assert_eq!(front.ask("statement-read", "serve:flood")["error"], serde_json::Value::Null);
+    assert!(rig.node("n0").log().contains("datagram dropped"));
+}
+
+/// During a replacement two processes have one name: they are one member, and no call to it is lost for the view's sake.
+#[test]
+fn a_process_and_its_successor_are_one_member() {
+    let mut rig = started_as(3, 200, &["n0"], true);
+    rig.settle(MOST);
+    let hears = rig.node("n1").logged("fleet").expect("logged");
+    let held = |rig: &Rig| {
+        let told = rig.told("n0").expect("it answers");
+        assert_eq!(told.summary.present, 3);
+        told.members.into_iter().find(|r| &*r.name == "n1").expect("held")
+    };
+    let before = held(&rig);
+    let mut second = rig.successor("n1", hears);
+    until("the second is a member", || second.logged("fleet").is_some());
+    until("it has the name", || held(&rig).word.life > before.word.life && held(&rig).word.said == Said::Up);
+    assert_ne!(held(&rig).at, hears, "the address was taken");
+    // The first one ends on the platform's word and says nothing of the name.
+    rig.end("n1");
+    until("the second takes the address over", || held(&rig).at == hears);
+    assert!(held(&rig).word.present());
+    second.terminate();
+    second.exit();
+    until("it said goodbye", || {
+        let told = rig.told("n0").expect("it answers");
+        told.members.iter().any(|r| &*r.name == "n1" && r.word.left())
+    });
+}
+
+#[test]
+fn the_command_shows_what_each_sees_and_where_they_differ() {
+    let mut rig = started_as(4, 200, &["n0"], true);
+    rig.settle(MOST);
+    let status = |rig: &Rig, more: &[&str]| {
+        let file = rig.fleet_file_of("n0");
+        let at = rig.node("n0").logged("fleet").expect("logged").to_string();
+        let mut command = std::process::Command::new(mothwinch_stand_ins::program());
+        command.args(["fleet", "status", "--at", &at]).args(more).arg(file);
+        let out = command.output().expect("it runs");
+        assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+        String::from_utf8(out.stdout).expect("text")
+    };
+    assert_eq!(rig.call("n3", "quiesce"), "ok quiesced");
+    rig.wait("n0 hears of it", MOST, |rig| status(rig, &[]).contains("quiesced")).expect("it is said");
+    let text = status(&rig, &[]);
+    assert!(text.starts_with("n0 sees 4 present, 0 lost; it concludes: whole"), "{text}");
+    rig.settle(MOST);
+    assert!(status(&rig, &["--all"]).contains("all that answered see the same"));
+    rig.kill("n2");
+    rig.settle(MOST);
+    let all: serde_json::Value = serde_json::from_str(&status(&rig, &["--all", "--json"])).expect("JSON");
+    assert_eq!((&all["same"], &all["views"]["n1"]["members"]["n2"]["state"]), (&json!(true), &json!("gone")));
+    let all: serde_json::Value = serde_json::from_str(&status(&rig, &["--all", "--json"])).expect("JSON");
+    assert_eq!(all["views"]["n3"]["members"]["n3"]["state"], "quiesced");
+    // One that does not answer is told as such, and is not taken for one that sees the same.
+    rig.stop("n1");
+    assert!(status(&rig, &["--all"]).lines().any(|l| l.starts_with("n1") && l.ends_with("no answer")));
+    rig.resume("n1");
+}
+
+/// Guards `run` on the platform: without a file there is no thread, socket or byte of it.
+#[test]
+fn without_a_file_there_is_nothing_of_it() {
+    let node = mothwinch_stand_ins::Node::start();
+    let threads = format!("/proc/{}/task", node.process.id());
+    let names: Vec<String> = std::fs::read_dir(threads)
+        .expect("a list")
+        .flatten()
+        .map(|t| std::fs::read_to_string(t.path().join("comm")).expect("a name"))
+        .collect();
+    assert!(!names.is_empty() && !names.iter().any(|n| n.contains("fleet")), "{names:?}");
+    assert!(!node.log().contains("fleet"));
+}
+
+// ---- 24 nodes at the usual pace ----
+
+#[test]
+#[ignore = "24 nodes at the usual pace: minutes"]
+fn hard_cases_of_24_nodes() {
+    let one = |n: usize| usize::from(n == 3);
+    let cases: [(&str, &dyn Fn() -> Duration); 11] = [
+        ("start at once, one seed", &|| started(24, 500, &["n0"]).settle(MOST)),
+        ("start at once, a seed down", &|| seed_down(24, 500)),
+        ("8 killed", &|| third_killed(24, 500)),
+        ("halves, healed", &|| parted(24, 500, |n| n % 2, 2)),
+        ("2:1, healed", &|| parted(24, 500, |n| usize::from(n % 3 == 0), 2)),
+        ("in three, healed", &|| parted(24, 500, |n| n % 3, 3)),
+        ("one cut off, healed", &|| parted(24, 500, one, 2)),
+        ("one deaf, healed", &|| one_way(24, 500, true)),
+        ("nobody hears one, healed", &|| one_way(24, 500, false)),
+        ("one stopped, continued", &|| stopped(24, 500)),
+        ("one restarted", &|| restarted(24, 500)),
+    ];
+    for (what, play) in cases {
+        let mut took: Vec<Duration> = (0..3).map(|_| play()).collect();
+        took.sort();
+        println!("| {what} | {:.2} | {:.2} |", took[1].as_secs_f64(), took[2].as_secs_f64());
+    }
+    lossy(24, 500, Duration::from_secs(60));
+    println!("| a fifth lost for 60 s: nobody given up | | |");
+    println!("| rolling restart of all | {:.2} | |", rolling(24, 500).as_secs_f64());
+    println!("| replaced on both sides | {:.2} | |", replaced_while_parted(24, 500).as_secs_f64());
+}
