The router takes its nodes from the fleet's view; the heartbeat detector goes

Need: a router probed each node from a static file; quiesced nodes were found by that alone, and two detectors would stand in the repository. Change: 'fleet' in the router's file makes it a member that serves nothing. Nodes come with state and address from the view; one that is suspected gets requests only where nobody else of its cell is there (Presence in crates/routing). A router that hears nobody goes on with those that it knew, and asks them.

--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -12,5 +12,5 @@
 
 pub use file::{FileError, Layout};
 pub use map::{Cell, CellMap, Home, LayoutError, Node, Published};
-pub use member::{Detector, Health, Verdict};
+pub use member::Verdict;
 pub use moves::{Fence, Move, Step};
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -65,6 +65,8 @@
     /// Before it: for datagrams, for streams.
     before: (SocketAddr, SocketAddr),
     process: Option<Process>,
+    /// It is a member of the fleet.
+    member: bool,
     stopped: bool,
     part: u8,
     file: Scratch,
@@ -148,8 +150,16 @@
             self.switch.open(&plan.name);
         }
         let file = Scratch::new(&format!("{}.json", plan.name), "{}");
-        let slot =
-            Slot { before, process: None, stopped: false, part: 0, file, executor: Executor::start(), plan };
+        let slot = Slot {
+            before,
+            process: None,
+            member: true,
+            stopped: false,
+            part: 0,
+            file,
+            executor: Executor::start(),
+            plan,
+        };
         self.slots.insert(slot.plan.name.clone(), slot);
         Ok(())
     }
@@ -202,18 +212,42 @@
         let slot = self.slot_mut(name);
         (slot.process, slot.stopped) = (Some(Process::Node(Box::new(node))), false);
     }
-    /// Starts a router with this file, after its fleet's file was written beside it.
-    pub fn start_router(&mut self, name: &str, file: impl FnOnce(&str) -> String) {
+    /// Starts a router in front of all nodes that are planned, all of one cell. With `view` it takes them from the fleet,
+    /// else it asks each of them.
+    pub fn start_router(&mut self, name: &str, view: bool) {
         let fleet = self.fleet_file(name, ([127, 0, 0, 1], 0).into());
+        let place = |path: &PathBuf| path.display().to_string();
+        let nodes: Vec<String> = self
+            .slots
+            .iter()
+            .filter(|(n, _)| *n != name)
+            .map(|(n, s)| {
+                format!("{n}: {{ site: '{}', cell: 'all', address: '{}' }}", s.plan.site, s.before.1)
+            })
+            .collect();
+        let cells = self.slot(name).file.0.with_extension("cells.json5");
+        let text = format!(
+            "{{ version: 1, strangers: true, cells: {{ all: {{}} }}, nodes: {{ {} }} }}",
+            nodes.join(", ")
+        );
+        std::fs::write(&cells, text).expect("a file");
         let own = self.slot(name).file.0.with_extension("router.json5");
-        std::fs::write(&own, file(&fleet.display().to_string())).expect("a file");
+        let fleet = if view { format!("fleet: '{}',", place(&fleet)) } else { String::new() };
+        let text = format!(
+            "{{ version: 1, listen: '127.0.0.1:0', cells: '{}', {fleet} classes: {{
+               'statement-read': {{ once: false, deadline_ms: 1500 }},
+               'settlement-post': {{ once: true, deadline_ms: 1500 }} }} }}",
+            place(&cells)
+        );
+        std::fs::write(&own, text).expect("a file");
         let mut command = command(&self.slot(name).file);
         command.arg("route").arg(own);
         let peers = (self.slot(name).executor.clone(), self.database.clone(), self.list.clone());
         let node = Node::run(command, peers, Scratch::new(&format!("{name}.spare"), ""));
         self.switch.runs(name, node.process.id());
         self.note("start", json!(name));
-        self.slot_mut(name).process = Some(Process::Router(Box::new(node)));
+        let slot = self.slot_mut(name);
+        (slot.process, slot.member) = (Some(Process::Router(Box::new(node))), view);
     }
     /// Waits until these are up, and connects the switch to them.
     pub fn up(&mut self, names: &[&str]) {
@@ -221,11 +255,12 @@
             let slot = self.slot(name);
             let process = slot.process.as_ref().unwrap_or_else(|| panic!("{name} was not started"));
             let node = process.node();
-            until("it hears the fleet", || node.logged("fleet").is_some());
-            let hears = node.logged("fleet").expect("logged");
+            if slot.member {
+                until("it hears the fleet", || node.logged("fleet").is_some());
+                self.switch.hears(name, node.logged("fleet").expect("logged")).expect("on loopback");
+            }
             until("it listens", || node.logged("listening").is_some());
             let serves = node.logged("listening").expect("logged");
-            self.switch.hears(name, hears).expect("on loopback");
             self.switch.serves(name, serves).expect("on loopback");
             let node = self.slot_mut(name).process.as_mut().map(Process::node_mut).expect("it was started");
             node.address = serves;
@@ -354,7 +389,7 @@
     pub fn settled(&self) -> bool {
         let mut parts: BTreeMap<u8, Vec<&String>> = BTreeMap::new();
         for (name, slot) in &self.slots {
-            if slot.process.is_some() && !slot.stopped {
+            if slot.process.is_some() && slot.member && !slot.stopped {
                 parts.entry(slot.part).or_default().push(name);
             }
         }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mothwinch_cells::{FileError, Layout};
+use mothwinch_fleet_wire as fleet;
 use serde::Deserialize;
 
 /// A class of requests.
@@ -33,6 +34,10 @@
     pub layout: Layout,
     /// The file of cells, for when it is read again.
     pub cells: PathBuf,
+    /// The fleet whose view tells which nodes are there; without it they are asked one by one.
+    pub fleet: Option<fleet::Config>,
+    /// The fleet's file, for when it is read again.
+    pub fleet_file: Option<PathBuf>,
 }
 
 /// Why a router's file can't be used.
@@ -42,6 +47,10 @@
     Unreadable(PathBuf, std::io::Error),
     /// It, or the file of cells, says something that can't be used.
     File(FileError),
+    /// The fleet's file says something that can't be used.
+    Fleet(fleet::ConfigError),
+    /// The fleet's file names no member, and the router has no name elsewhere.
+    NoName(PathBuf),
     /// A node of the file of cells has no address.
     NoAddress(PathBuf, String),
 }
@@ -51,6 +60,10 @@
         match self {
             ConfigError::Unreadable(path, e) => write!(f, "{}: {e}", path.display()),
             ConfigError::File(e) => write!(f, "{e}"),
+            ConfigError::Fleet(e) => write!(f, "{e}"),
+            ConfigError::NoName(path) => {
+                write!(f, "{}: name: is missing, and a router has no other", path.display())
+            }
             ConfigError::NoAddress(path, node) => {
                 write!(f, "{}: nodes.{node}: has no address", path.display())
             }
@@ -65,6 +78,7 @@
     version: u32,
     listen: SocketAddr,
     cells: PathBuf,
+    fleet: Option<PathBuf>,
     classes: BTreeMap<String, FileClass>,
     #[serde(default = "clients")]
     clients: usize,
@@ -118,7 +132,10 @@
             classes
                 .insert(class, Class { once: spec.once, deadline: Duration::from_millis(spec.deadline_ms) });
         }
-        let cells = path.parent().unwrap_or(Path::new("")).join(&file.cells);
+        let beside = |file: &PathBuf| path.parent().unwrap_or(Path::new("")).join(file);
+        let cells = beside(&file.cells);
+        let fleet_file = file.fleet.as_ref().map(beside);
+        let fleet = fleet_file.as_deref().map(Config::fleet).transpose()?;
         let layout = Config::layout(&cells)?;
         Ok(Config {
             listen: file.listen,
@@ -127,9 +144,20 @@
             per_node: file.per_node,
             layout,
             cells,
+            fleet,
+            fleet_file,
         })
     }
 
+    /// Reads a fleet's file that names the router.
+    pub fn fleet(file: &Path) -> Result<fleet::Config, ConfigError> {
+        let fleet = fleet::Config::read(file).map_err(ConfigError::Fleet)?;
+        if fleet.name.is_none() {
+            return Err(ConfigError::NoName(file.to_path_buf()));
+        }
+        Ok(fleet)
+    }
+
     /// Reads a file of cells whose nodes can all be reached.
     pub fn layout(cells: &Path) -> Result<Layout, ConfigError> {
         let text =
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -12,20 +12,22 @@
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
 use mothwinch_cells::map::{CellMap, Name};
-use mothwinch_cells::member::{Beat, Detector, Patience};
 use mothwinch_connections::{Bounds, Breach, Due, Go, Room, Session};
-use mothwinch_routing::{After, End, Refusal, Request, Route, Router, Rules, Ticket};
-use slog::{debug, info, warn, Logger};
+use mothwinch_fleet::Said;
+use mothwinch_fleet_wire as fleet;
+use mothwinch_routing::{After, End, Presence, Refusal, Request, Route, Router, Rules, Ticket};
+use slog::{debug, info, o, warn, Logger};
 
 use crate::config::Config;
-use crate::message::{self, Call, Said, REFUSED};
+use crate::message::{self, Call, REFUSED};
+use crate::nodes::{Nodes, BEAT};
 use crate::upstream::Upstream;
 
 const LISTENER: Token = Token(0);
 const WAKER: Token = Token(1);
 const FIRST: usize = 2;
-/// A node's life is not told by the platform's protocol: a node counts as the same until its connections break.
-const LIFE: u64 = 1;
+/// Stack of the thread that keeps the fleet's view.
+const FLEET_STACK: usize = 160 * 1024;
 /// The ticket of a health check: routing numbers tickets from 1.
 const HEALTH: Ticket = 0;
 
@@ -107,8 +109,7 @@
     handle: Handle,
     started: Instant,
     map: CellMap,
-    addresses: HashMap<Name, SocketAddr>,
-    watch: Detector,
+    nodes: Nodes,
     router: Router,
     clients: HashMap<usize, Client>,
     links: HashMap<usize, Link>,
@@ -145,8 +146,7 @@
             handle,
             started: now,
             map: CellMap::default(),
-            addresses: HashMap::new(),
-            watch: Detector::new(Patience::default()),
+            nodes: Nodes::new(),
             router: Router::new(rules, seed),
             clients: HashMap::new(),
             links: HashMap::new(),
@@ -161,8 +161,23 @@
         };
         let layout = router.config.layout.clone();
         router.take_layout(&layout).map_err(|e| io::Error::other(e.to_string()))?;
+        if let Some(config) = router.config.fleet.clone() {
+            router.join(config)?;
+        }
         Ok(router)
     }
+    /// Becomes a member of the fleet, one that serves nothing.
+    fn join(&mut self, config: fleet::Config) -> io::Result<()> {
+        let me = fleet::Me { name: config.name.clone().unwrap_or_default(), serves: None };
+        let waker = self.handle.waker.clone();
+        let changed = Box::new(move || drop(waker.wake()));
+        let log = self.log.new(o!("actor" => "fleet"));
+        let view = fleet::start(config, me, FLEET_STACK, changed, &log)?;
+        info!(log, "fleet"; "at" => %view.at);
+        view.say(Said::Up);
+        self.nodes.join(view);
+        Ok(())
+    }
     /// For other threads.
     pub fn handle(&self) -> Handle {
         self.handle.clone()
@@ -173,8 +188,7 @@
         if !moves.is_empty() {
             warn!(self.log, "tenants stay where they live until they are moved"; "tenants" => moves.len());
         }
-        self.addresses =
-            map.cells().flat_map(|c| &c.nodes).filter_map(|n| Some((n.name.clone(), n.address?))).collect();
+        self.nodes.take_map(&map);
         self.map = map;
         Ok(())
     }
@@ -184,6 +198,11 @@
             Ok(()) => info!(self.log, "cells read again"; "epoch" => self.map.epoch()),
             Err(e) => warn!(self.log, "the new cells are not used"; "error" => e),
         }
+        let (Some(view), Some(file)) = (self.nodes.view(), &self.config.fleet_file) else { return };
+        match Config::fleet(file) {
+            Ok(config) => view.reload(config),
+            Err(e) => warn!(self.log, "the new fleet's file is not used"; "error" => %e),
+        }
     }
 
     fn time(&self, now: Instant) -> Duration {
@@ -197,6 +216,9 @@
             if self.handle.stop.load(SeqCst) {
                 self.listener = None;
                 if self.open.is_empty() && self.clients.values().all(|c| c.session.unsent().is_empty()) {
+                    if let Some(view) = self.nodes.view() {
+                        view.end(false);
+                    }
                     return Ok(());
                 }
             }
@@ -208,6 +230,7 @@
                 other => other?,
             }
             let now = Instant::now();
+            self.nodes.look(self.time(now));
             for event in &events {
                 match event.token() {
                     LISTENER => self.accept = true,
@@ -399,7 +422,9 @@
         let Some(c) = self.clients.get_mut(&number) else { return };
         if call.method == "alive" {
             c.session.touch(now);
-            let ready = self.addresses.keys().any(|node| self.watch.health(node).serves());
+            let time = self.time(now);
+            let up = |node| self.nodes.presence(node, time) != Presence::Away;
+            let ready = self.nodes.addresses.keys().any(|node| up(node));
             let line = format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"ready\":{ready}}}}}\n");
             return self.put(number, &line, now);
         }
@@ -452,8 +477,8 @@
             link: None,
         };
         let time = self.time(now);
-        let watch = &self.watch;
-        let (ticket, route) = self.router.arrive(request, &self.map, |n| watch.health(n).serves(), time);
+        let nodes = &self.nodes;
+        let (ticket, route) = self.router.arrive(request, &self.map, |n| nodes.presence(n, time), time);
         self.timers.push(Reverse((open.deadline, ticket)));
         self.open.insert(ticket, open);
         self.handle.counts.open.store(self.open.len(), SeqCst);
@@ -529,7 +554,7 @@
         }
     }
     fn connect(&mut self, node: &Name, health: bool) -> Option<usize> {
-        let at = *self.addresses.get(node)?;
+        let at = *self.nodes.addresses.get(node)?;
         let mut stream = TcpStream::connect(at).ok()?;
         let number = self.number();
         let both = Interest::READABLE | Interest::WRITABLE;
@@ -590,7 +615,7 @@
 
     fn said(&mut self, number: usize, line: &[u8], now: Instant) {
         let Some(l) = self.links.get_mut(&number) else { return };
-        let Some(said) = Said::read(line) else {
+        let Some(said) = message::Said::read(line) else {
             // What is not understood may be the answer to anything that is open here.
             return self.link_ended(number, now);
         };
@@ -600,11 +625,9 @@
         let (code, told) = said.told();
         let Some(ticket) = said.id.and_then(|id| l.state.answered(id)) else { return };
         if ticket == HEALTH {
-            let (node, draining) = (l.node.clone(), told.ready != Some(true));
+            let (node, ready) = (l.node.clone(), told.ready == Some(true));
             let time = self.time(now);
-            if let Some(health) = self.watch.heard(&node, Beat { life: LIFE, draining, last: false }, time) {
-                info!(self.log, "node"; "node" => &*node, "health" => ?health);
-            }
+            self.nodes.checked(&node, ready, time);
             return;
         }
         let end = match code {
@@ -635,8 +658,8 @@
     /// A try has ended, with the node's answer if it gave one.
     fn ended(&mut self, ticket: Ticket, end: End, hint: Option<f64>, answer: Option<String>, now: Instant) {
         let time = self.time(now);
-        let watch = &self.watch;
-        let after = self.router.ended(ticket, end, hint, &self.map, |n| watch.health(n).serves(), time);
+        let nodes = &self.nodes;
+        let after = self.router.ended(ticket, end, hint, &self.map, |n| nodes.presence(n, time), time);
         let Some(open) = self.open.get(&ticket) else { return };
         let id = open.id;
         match after {
@@ -662,13 +685,14 @@
 
     // ---- time ----
 
-    /// A health check for each node, on a connection of its own.
+    /// What is done each beat; where no view tells who is there, a health check for each node, on a connection of its own.
     fn beats(&mut self, now: Instant) {
         if now < self.beat {
             return;
         }
-        self.beat = now + Patience::default().beat;
-        let nodes: Vec<Name> = self.addresses.keys().cloned().collect();
+        self.beat = now + BEAT;
+        let asks = self.nodes.asks();
+        let nodes: Vec<Name> = if asks { self.nodes.addresses.keys().cloned().collect() } else { Vec::new() };
         for node in nodes {
             let link = self.links.iter().find(|(_, l)| l.health && l.node == node).map(|(number, _)| *number);
             let Some(number) = link.or_else(|| self.connect(&node, true)) else { continue };
@@ -685,11 +709,12 @@
                 self.flush(number, now);
             }
         }
-        for (node, health) in self.watch.tick(self.time(now)) {
-            info!(self.log, "node"; "node" => &*node, "health" => ?health);
+        for (node, presence) in self.nodes.changed(self.time(now)) {
+            info!(self.log, "node"; "node" => &*node, "is" => ?presence);
         }
         // Links to nodes that are gone from the map end once nothing is open on them.
-        let gone = |l: &Link| !self.addresses.contains_key(&l.node) && (l.health || l.state.open() == 0);
+        let known = |node: &Name| self.nodes.addresses.contains_key(node);
+        let gone = |l: &Link| l.health && !asks || !known(&l.node) && (l.health || l.state.open() == 0);
         let idle: Vec<usize> =
             self.links.iter().filter(|(_, l)| gone(l)).map(|(number, _)| *number).collect();
         idle.into_iter().for_each(|number| self.link_ended(number, now));
@@ -731,8 +756,8 @@
     fn next_waiting(&mut self, now: Instant) {
         loop {
             let time = self.time(now);
-            let watch = &self.watch;
-            let next = self.router.next(&self.map, |n| watch.health(n).serves(), time);
+            let nodes = &self.nodes;
+            let next = self.router.next(&self.map, |n| nodes.presence(n, time), time);
             let Some((ticket, route)) = next else { return };
             self.route(ticket, route, now);
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod config;
 mod message;
+mod nodes;
 mod upstream;
 
 mod events;
--- /dev/null
+++ b/crates/router/src/nodes.rs
@@ -0,0 +1,105 @@
+//! Which nodes are there: by the fleet's view where the router is a member, else by health checks. A view that sees nobody
+//! tells nothing of the nodes; then they are asked, as without one.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mothwinch_cells::map::{CellMap, Name};
+use mothwinch_fleet::{Conclusion, Standing};
+use mothwinch_fleet_wire::{Handle, Seen};
+use mothwinch_routing::{Checks, Presence};
+
+/// Between two health checks of a node.
+pub const BEAT: Duration = Duration::from_millis(200);
+/// How long a good answer to one holds.
+const HOLDS: Duration = Duration::from_millis(1000);
+
+pub struct Nodes {
+    checks: Checks,
+    view: Option<(Handle, Arc<Seen>)>,
+    /// Where they are by the file of cells, and where they are now.
+    by_file: HashMap<Name, SocketAddr>,
+    pub addresses: HashMap<Name, SocketAddr>,
+    logged: BTreeMap<Name, Presence>,
+}
+
+impl Nodes {
+    pub fn new() -> Nodes {
+        Nodes {
+            checks: Checks::new(HOLDS),
+            view: None,
+            by_file: HashMap::new(),
+            addresses: HashMap::new(),
+            logged: BTreeMap::new(),
+        }
+    }
+    pub fn join(&mut self, handle: Handle) {
+        let seen = handle.seen();
+        self.view = Some((handle, seen));
+    }
+    pub fn view(&self) -> Option<&Handle> {
+        self.view.as_ref().map(|(handle, _)| handle)
+    }
+    /// The nodes of a map.
+    pub fn take_map(&mut self, map: &CellMap) {
+        self.by_file =
+            map.cells().flat_map(|c| &c.nodes).filter_map(|n| Some((n.name.clone(), n.address?))).collect();
+        self.resolve();
+    }
+    /// Where a member says that it serves goes before the file.
+    fn resolve(&mut self) {
+        let seen = self.view.as_ref().map(|(_, seen)| seen);
+        let says = |name: &Name| seen.and_then(|s| s.member(name)).filter(|r| r.word.present())?.serves;
+        self.addresses =
+            self.by_file.iter().map(|(name, at)| (name.clone(), says(name).unwrap_or(*at))).collect();
+    }
+    /// Takes what the view sees now.
+    pub fn look(&mut self, now: Duration) {
+        let Some((handle, before)) = &mut self.view else { return };
+        let seen = handle.seen();
+        if Arc::ptr_eq(before, &seen) {
+            return;
+        }
+        let was = std::mem::replace(before, seen);
+        if self.by_view().is_none() && was.conclusion != Conclusion::Alone {
+            // It hears nobody from now on. Who was there before goes on until a check says otherwise.
+            for name in self.by_file.keys() {
+                if was.member(name).is_some_and(|r| r.takes_requests()) {
+                    self.checks.heard(name, true, now);
+                }
+            }
+        }
+        self.resolve();
+    }
+    fn by_view(&self) -> Option<&Seen> {
+        self.view.as_ref().map(|(_, seen)| &**seen).filter(|seen| seen.conclusion != Conclusion::Alone)
+    }
+    /// Whether nodes have to be asked one by one.
+    pub fn asks(&self) -> bool {
+        self.by_view().is_none()
+    }
+    /// A health check was answered.
+    pub fn checked(&mut self, node: &Name, ready: bool, now: Duration) {
+        self.checks.heard(node, ready, now);
+    }
+    /// How a node stands.
+    pub fn presence(&self, node: &str, now: Duration) -> Presence {
+        let Some(seen) = self.by_view() else { return self.checks.presence(node, now) };
+        match seen.member(node).filter(|r| r.takes_requests()) {
+            Some(r) if r.word.standing == Standing::Suspected => Presence::Doubtful,
+            Some(_) => Presence::There,
+            None => Presence::Away,
+        }
+    }
+    /// Nodes that stand otherwise than when this was last asked.
+    pub fn changed(&mut self, now: Duration) -> Vec<(Name, Presence)> {
+        let names: Vec<Name> = self.by_file.keys().cloned().collect();
+        let is: Vec<(Name, Presence)> =
+            names.into_iter().map(|n| (n.clone(), self.presence(&n, now))).collect();
+        is.into_iter()
+            .filter(|(name, presence)| self.logged.insert(name.clone(), *presence) != Some(*presence))
+            .collect()
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod budget;
 mod outlier;
+mod presence;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -14,6 +15,7 @@
 
 pub use budget::Budget;
 pub use outlier::{Outlier, Outliers, Standing};
+pub use presence::{Checks, Presence};
 
 /// A request's number at the router.
 pub type Ticket = u64;
@@ -182,12 +184,12 @@
         self.outliers.standing(node, now)
     }
 
-    /// A request has come. `there` tells which nodes the membership knows to be up.
-    pub fn arrive(
+    /// A request has come. `there` tells how each node stands, by the fleet's view or by checks.
+    pub fn arrive<P: Into<Presence>>(
         &mut self,
         request: Request,
         map: &CellMap,
-        there: impl Fn(&str) -> bool,
+        there: impl Fn(&str) -> P,
         now: Duration,
     ) -> (Ticket, Route) {
         let ticket = self.next;
@@ -200,7 +202,7 @@
         };
         self.budgets.first_try(&request.tenant, &cell.name);
         let shard = map.shard(cell, &request.tenant);
-        let up: Vec<&Node> = shard.into_iter().filter(|n| there(&n.name)).collect();
+        let up = presence::candidates(shard, &there);
         let mut open = Open { request, cell: cell.name.clone(), tried: Vec::new(), at: None };
         let route = match self.choose(&open, &up, now) {
             Choice::Node(node) => {
@@ -222,13 +224,13 @@
     }
 
     /// A try has ended, with the node's free value if it told one. What to do, and a place is free for [`Router::next`].
-    pub fn ended(
+    pub fn ended<P: Into<Presence>>(
         &mut self,
         ticket: Ticket,
         end: End,
         hint: Option<f64>,
         map: &CellMap,
-        there: impl Fn(&str) -> bool,
+        there: impl Fn(&str) -> P,
         now: Duration,
     ) -> After {
         let Some(mut open) = self.open.remove(&ticket) else { return After::Answer };
@@ -260,8 +262,8 @@
         };
         open.cell = cell.name.clone();
         let shard = map.shard(cell, &open.request.tenant);
-        let up: Vec<&Node> =
-            shard.into_iter().filter(|n| there(&n.name) && !open.tried.contains(&n.name)).collect();
+        let shard = shard.into_iter().filter(|n| !open.tried.contains(&n.name)).collect();
+        let up = presence::candidates(shard, &there);
         let Choice::Node(node) = self.choose(&open, &up, now) else { return given_up(self) };
         if !self.budgets.further_try(&open.request.tenant, &open.cell) {
             return given_up(self);
@@ -286,10 +288,10 @@
     }
 
     /// The next of those that wait and what becomes of it, as long as there is a place or one whose time is over.
-    pub fn next(
+    pub fn next<P: Into<Presence>>(
         &mut self,
         map: &CellMap,
-        there: impl Fn(&str) -> bool,
+        there: impl Fn(&str) -> P,
         now: Duration,
     ) -> Option<(Ticket, Route)> {
         let cells: Vec<Name> = self.waiting.keys().cloned().collect();
@@ -309,7 +311,7 @@
                 None => Route::Refuse(Refusal::NoCell),
                 Some(home) => {
                     let shard = map.shard(home, &open.request.tenant);
-                    let up: Vec<&Node> = shard.into_iter().filter(|n| there(&n.name)).collect();
+                    let up = presence::candidates(shard, &there);
                     match self.choose(&open, &up, now) {
                         Choice::Node(node) => {
                             open.cell = home.name.clone();
--- a/crates/routing/tests/routing.rs
+++ b/crates/routing/tests/routing.rs
@@ -6,7 +6,9 @@
 use mothwinch_cells::file::{CellSpec, NodeSpec, Placement, TenantSpec};
 use mothwinch_cells::map::CellMap;
 use mothwinch_cells::Layout;
-use mothwinch_routing::{After, Budget, End, Refusal, Request, Route, Router, Rules, Standing, Ticket};
+use mothwinch_routing::{
+    After, Budget, Checks, End, Presence, Refusal, Request, Route, Router, Rules, Standing, Ticket,
+};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 fn ms(ms: u64) -> Duration {
@@ -355,3 +357,38 @@
         .tests(2000)
         .quickcheck(check as fn(Vec<Do>) -> bool);
 }
+
+/// Guards requests against a node that somebody got no answer from, and the last nodes of a cell against being left out for
+/// a doubt: who is in doubt gets something only where nobody is there.
+#[test]
+fn one_in_doubt_comes_after_those_that_are_there() {
+    let map = map();
+    let mut router = Router::new(Rules::default(), 1);
+    let doubt = |nodes: &'static [&'static str]| {
+        move |n: &str| if nodes.contains(&n) { Presence::Doubtful } else { Presence::There }
+    };
+    for _ in 0..50 {
+        let (ticket, route) = router.arrive(read("alpenergia"), &map, doubt(&["a0", "a1"]), ms(0));
+        assert_eq!(route, Route::Send("a2".into()));
+        router.ended(ticket, End::Served, None, &map, doubt(&["a0", "a1"]), ms(0));
+    }
+    let (_, route) = router.arrive(read("alpenergia"), &map, doubt(&["a0", "a1", "a2"]), ms(0));
+    assert!(matches!(route, Route::Send(_)), "{route:?}");
+    let (_, route) = router.arrive(read("alpenergia"), &map, |_: &str| Presence::Away, ms(0));
+    assert!(matches!(route, Route::Refuse(_)), "{route:?}");
+}
+
+#[test]
+fn a_check_holds_for_its_patience_and_a_bad_answer_ends_it() {
+    let mut checks = Checks::new(ms(1000));
+    let name = "a0".into();
+    assert_eq!(checks.presence("a0", ms(0)), Presence::Away);
+    checks.heard(&name, true, ms(100));
+    assert_eq!(
+        (checks.presence("a0", ms(1099)), checks.presence("a0", ms(1100))),
+        (Presence::There, Presence::Away)
+    );
+    checks.heard(&name, true, ms(1200));
+    checks.heard(&name, false, ms(1300));
+    assert_eq!(checks.presence("a0", ms(1300)), Presence::Away);
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -201,6 +201,10 @@
     pub fn runs(&self, body: &str) -> usize {
         lock(&self.state).runs.get(body).copied().unwrap_or(0)
     }
+    /// How many requests were run.
+    pub fn all_runs(&self) -> usize {
+        lock(&self.state).runs.values().sum()
+    }
     /// The positions that links joined at.
     pub fn joins(&self) -> Vec<u64> {
         lock(&self.state).joins.clone()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -322,6 +322,126 @@
     rig.resume("n1");
 }
 
+// ---- the router as a member ----
+
+/// Nodes and a router in front of them.
+fn routed(count: usize, view: bool) -> Rig {
+    let mut rig = Rig::new(11).expect("sockets");
+    for n in 0..count {
+        rig.plan(Plan { fleet: "period_ms: 200,".into(), ..Plan::node(n) }).expect("sockets");
+    }
+    rig.seeds(&["n0"]);
+    rig.plan(Plan {
+        name: "r0".into(),
+        site: "milano-lambrate".into(),
+        fleet: "period_ms: 200,".into(),
+        open: false,
+    })
+    .expect("sockets");
+    let nodes = names(0..count);
+    nodes.iter().for_each(|n| rig.start(n));
+    rig.start_router("r0", view);
+    rig.up(&strs(&nodes));
+    rig.up(&["r0"]);
+    rig.settle(MOST);
+    let mut front = rig.front("r0");
+    until("the router has all nodes", || {
+        let body = format!("serve:{:?}", Instant::now());
+        front.ask("statement-read", &body);
+        nodes.iter().all(|n| rig.executor(n).all_runs() > 0)
+    });
+    rig
+}
+/// Asks for so long, one request after the other; of each when it was asked, after how long it was answered, whether it
+/// was served, and its body.
+fn trickle(rig: &Rig, long: Duration) -> Vec<(Instant, Duration, bool, String)> {
+    let mut front = rig.front("r0");
+    let end = Instant::now() + long;
+    let mut asked = Vec::new();
+    while Instant::now() < end {
+        let at = Instant::now();
+        let body = format!("serve:{}", asked.len());
+        let answer = front.ask("statement-read", &body);
+        asked.push((at, at.elapsed(), answer["result"].is_object(), body));
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    asked
+}
+
+#[test]
+fn a_router_takes_its_nodes_from_the_view() {
+    let mut rig = routed(3, true);
+    // Nothing is asked of a node that empties itself, as soon as the news is there.
+    assert_eq!(rig.call("n1", "quiesce"), "ok quiesced");
+    let heard = rig.wait("the router hears of it", MOST, |rig| {
+        rig.told("r0")
+            .is_some_and(|t| t.members.iter().any(|r| &*r.name == "n1" && r.word.said == Said::Quiesced))
+    });
+    heard.expect("it hears");
+    std::thread::sleep(Duration::from_millis(50));
+    let before = rig.executor("n1").all_runs();
+    assert!(trickle(&rig, Duration::from_millis(500)).iter().all(|(_, _, served, _)| *served));
+    assert_eq!(rig.executor("n1").all_runs(), before);
+    assert_eq!(rig.call("n1", "resume"), "ok serving");
+    until("it is asked again", || {
+        trickle(&rig, Duration::from_millis(50));
+        rig.executor("n1").all_runs() > before
+    });
+    // One that is killed costs no read: another serves it.
+    rig.kill("n2");
+    let asked = trickle(&rig, Duration::from_secs(2));
+    assert!(asked.len() > 20 && asked.iter().all(|(_, _, served, _)| *served), "{} asked", asked.len());
+}
+
+/// A router that hears nothing of the fleet goes on with the nodes that it knew, and finds out by asking them.
+#[test]
+fn a_router_that_hears_nothing_serves_on() {
+    let mut rig = routed(3, true);
+    rig.weather(json!("all datagrams lost"), |link| link.loss = 1.0);
+    let mut served = Vec::new();
+    until("the router knows that it is alone", || {
+        served.extend(trickle(&rig, Duration::from_millis(100)));
+        conclusion(&rig, "r0") == "alone"
+    });
+    served.extend(trickle(&rig, Duration::from_secs(1)));
+    assert!(served.iter().all(|(_, _, well, _)| *well), "of {} not all were served", served.len());
+    assert_eq!(rig.call("n1", "quiesce"), "ok quiesced");
+    let before = std::cell::Cell::new(rig.executor("n1").all_runs());
+    until("a check finds that one is quiesced", || {
+        trickle(&rig, Duration::from_millis(100));
+        before.replace(rig.executor("n1").all_runs()) == rig.executor("n1").all_runs()
+    });
+    rig.heal();
+    rig.settle(MOST);
+    assert_eq!(conclusion(&rig, "r0"), "whole");
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn from_quiesce_and_kill_to_the_last_request_routed_there() {
+    println!("| router | quiesce to last there, ms: median, worst | kill to last not served or over 50 ms late, ms: median, worst |");
+    for view in [true, false] {
+        let (mut quiesced, mut killed) = (Vec::new(), Vec::new());
+        for _ in 0..10 {
+            let mut rig = routed(4, view);
+            let from = Instant::now();
+            assert_eq!(rig.call("n1", "quiesce"), "ok quiesced");
+            let asked = trickle(&rig, Duration::from_millis(800));
+            let there = asked.iter().filter(|(_, _, _, body)| rig.executor("n1").runs(body) > 0);
+            quiesced.push(there.map(|(at, ..)| at.duration_since(from).as_millis()).max().unwrap_or(0));
+            let from = Instant::now();
+            rig.kill("n2");
+            let asked = trickle(&rig, Duration::from_secs(4));
+            let harmed = asked.iter().filter(|(_, took, served, _)| !served || took.as_millis() > 50);
+            killed.push(harmed.map(|(at, ..)| at.duration_since(from).as_millis()).max().unwrap_or(0));
+        }
+        quiesced.sort_unstable();
+        killed.sort_unstable();
+        let name = if view { "by the view" } else { "by asking, as before" };
+        println!("| {name} | {}, {} | {}, {} |", quiesced[5], quiesced[9], killed[5], killed[9]);
+    }
+}
+
 /// Guards `run` on the platform: without a file there is no thread, socket or byte of it.
 #[test]
 fn without_a_file_there_is_nothing_of_it() {
