mothwinch demo; a node that hears nobody knows in seconds that it is alone

Need: a newcomer could not see the program at work. Change: a node that has heard no member for the least suspicion and two periods concludes that it is alone, 3 s at four members; the lines at fault are View::conclude, which counted the given up only.

--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -74,6 +74,8 @@
     answered: (Duration, u32),
     concluded: (Conclusion, Duration),
     met: bool,
+    /// When any other member was last heard.
+    heard: Duration,
     /// Something was learned since this node last asked for a comparison.
     learned: bool,
 }
@@ -109,6 +111,7 @@
             answered: (now, 0),
             concluded: (Conclusion::Whole, now),
             met: false,
+            heard: now,
             learned: false,
             seeds: Vec::new(),
             me,
@@ -276,6 +279,7 @@
                 self.of_me(&from, now, out);
             } else {
                 self.learn(&from, false, now, out);
+                self.heard = now;
                 if let Some(held) = self.table.get_mut(&from.name) {
                     let word = held.record.word;
                     believed = word.present() && word.life == from.word.life;
@@ -577,9 +581,15 @@
         }
     }
 
+    /// After so long without a word from anybody a node is alone. Each member is probed by another about once a period.
+    fn patience(&self) -> Duration {
+        self.settings.least_suspicion(self.present()) + self.settings.period * 2
+    }
     fn conclude(&mut self, now: Duration) {
         let (present, lost) = (self.present(), self.lost());
         let conclusion = match () {
+            // Whoever else is there, none of them is heard: that is known long before each has been given up.
+            () if present > 1 && now >= self.heard + self.patience() => Conclusion::Alone,
             () if present <= 1 && (lost > 0 || !self.met && !self.seeds.is_empty()) => Conclusion::Alone,
             () if present > lost => Conclusion::Whole,
             () => Conclusion::Part,
@@ -601,6 +611,9 @@
         }
         let mut next = self.probe.as_ref().map_or(self.next_probe, |p| p.due.min(self.next_probe));
         next = next.min(self.next_revive);
+        if self.present() > 1 && self.concluded.0 != Conclusion::Alone {
+            next = next.min(self.heard + self.patience());
+        }
         if self.table.has_news() {
             next = next.min(self.next_gossip);
         }
@@ -649,6 +662,7 @@
     fn held_up(&mut self, late: Duration, now: Duration) {
         self.probe = None;
         self.next_probe = self.next_probe.max(now);
+        self.heard += late;
         self.errands.clear();
         for name in &self.suspects {
             if let Some(suspicion) = self.table.get_mut(name).and_then(|m| m.suspicion.as_mut()) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -59,6 +59,8 @@
         #[arg(value_name = "FILE")]
         file: PathBuf,
     },
+    /// Show the program at work: a router and a few nodes with stand-ins on loopback, and what they see of each other.
+    Demo(mothwinch_rig::demo::Demo),
     /// Carry requests to the nodes of each tenant's cell. SIGHUP reads the file of cells again.
     Route {
         /// The router's file, in JSON5.
@@ -87,6 +89,12 @@
             .and_then(|play| play.play(true))
             .map(|_| ExitCode::SUCCESS)
             .map_err(|e| e.to_string()),
+        Some(Command::Demo(demo)) => {
+            signals(&Limits::new(64)).map_err(|e| e.to_string()).and_then(|signals| {
+                let ended = || signals.leave.try_recv().is_ok();
+                mothwinch_rig::demo::run(demo, ended).map(|()| ExitCode::SUCCESS).map_err(|e| e.to_string())
+            })
+        }
         Some(Command::Route { file }) => route(file).map_err(|e| e.to_string()),
     };
     done.unwrap_or_else(|e| {
