Nodes share the ledger's calls at once: parts carried by the view, kept to by the database's actor

Change: budgets and keepers in the fleet's file, messages carried by the view's datagrams, what may be spent published by arc-swap and read against the clock at each call; the database's actor begins no call past it, counts those that it gave up until the ledger must have ended them, and drops one whose time went by in the queue as never run, with a log line. The module hears of its part (Event::CallsOut) and says how many requests wait. 'mothwinch fleet state' shows it. Without budgets in a file the actor does as before. Cause found on the way: with the module at 0.1 of a call nothing woke the actor, so a lease that came was never seen (look: leased 10, in use 0); the view's thread wakes it now, and a want.

--- a/crates/fleet-cli/src/lib.rs
+++ b/crates/fleet-cli/src/lib.rs
@@ -12,7 +12,8 @@
 
 use clap::{Args, Subcommand};
 use mothwinch_fleet::{Record, Said, Standing};
-use mothwinch_fleet_wire::{ask, AskError, Config, ConfigError, Told};
+use mothwinch_fleet_wire::{ask, look, AskError, Config, ConfigError, Told};
+use mothwinch_shared::Look;
 use serde::Serialize;
 
 /// The commands.
@@ -32,6 +33,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Show the budgets that a member holds parts of: totals, what is its own, what it holds on lease, what it uses.
+    State {
+        /// Who is asked.
+        #[command(flatten)]
+        whom: Whom,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Show each change of what a member sees, until ended.
     Watch {
         /// Who is asked.
@@ -252,6 +262,29 @@
     text
 }
 
+fn table_of_budgets(me: &Record, look: &Look) -> String {
+    let mut text = String::new();
+    let _ = writeln!(text, "{} knows as granter: {}", me.name, look.granter.as_deref().unwrap_or("nobody"));
+    for b in &look.budgets {
+        let own =
+            if b.floor.1 { "may be spent" } else { "not yet, calls of an earlier process may be in hand" };
+        let _ = writeln!(text, "{}: total {} by this member's file", b.name, b.total);
+        let _ = writeln!(
+            text,
+            "  its own {} ({own}); leased {} for {} ms more",
+            b.floor.0, b.leased.0, b.leased.1
+        );
+        let _ = writeln!(text, "  uses {}, wants {}", b.in_use.0, b.in_use.1);
+        if !b.holders.is_empty() {
+            let _ = writeln!(text, "  it grants; counted for all: {}", b.counted);
+        }
+        for (name, counted, want) in &b.holders {
+            let _ = writeln!(text, "    {name:<16} counted {counted:>6}, wants {want:>6}");
+        }
+    }
+    text
+}
+
 fn json(value: &impl Serialize) -> String {
     serde_json::to_string_pretty(value).map(|text| text + "\n").unwrap_or_default()
 }
@@ -275,6 +308,13 @@
             let status = shown(&ask(at, &config.fleet, wait).map_err(FleetError::Ask)?);
             Ok(if *as_json { json(&status) } else { table(&status) })
         }
+        Fleet::State { whom, json: as_json } => {
+            let (at, config) = place(whom)?;
+            let told =
+                look(at, &config.fleet, Duration::from_millis(whom.wait_ms)).map_err(FleetError::Ask)?;
+            let (me, look) = told;
+            Ok(if *as_json { json(&look) } else { table_of_budgets(&me, &look) })
+        }
         Fleet::Watch { whom, every_ms } => {
             let (at, config) = place(whom)?;
             let mut before: BTreeMap<String, Shown> = BTreeMap::new();
--- a/crates/fleet-wire/src/ask.rs
+++ b/crates/fleet-wire/src/ask.rs
@@ -7,6 +7,7 @@
 
 use mothwinch_fleet::packet::{Summary, LONGEST};
 use mothwinch_fleet::{Body, Name, Packet, Record};
+use mothwinch_shared::{Look, Message};
 
 /// What a member told of its view.
 #[derive(Clone, Debug)]
@@ -47,14 +48,42 @@
 /// How long one page may take before it is asked for again.
 const TRY: Duration = Duration::from_millis(150);
 
-/// Asks the member at this address what it sees, for so long at most.
-pub fn ask(at: SocketAddr, fleet: &str, most: Duration) -> Result<Told, AskError> {
+/// A socket for questions to this address.
+fn socket(at: SocketAddr) -> io::Result<UdpSocket> {
     let own: SocketAddr = match at {
         SocketAddr::V4(at) if at.ip().is_loopback() => (Ipv4Addr::LOCALHOST, 0).into(),
         SocketAddr::V4(_) => (Ipv4Addr::UNSPECIFIED, 0).into(),
         SocketAddr::V6(_) => (Ipv6Addr::UNSPECIFIED, 0).into(),
     };
-    let socket = UdpSocket::bind(own)?;
+    UdpSocket::bind(own)
+}
+
+/// Asks the member at this address what it holds of budgets, for so long at most.
+pub fn look(at: SocketAddr, fleet: &str, most: Duration) -> Result<(Record, Look), AskError> {
+    let socket = socket(at)?;
+    let end = Instant::now() + most;
+    let mut bytes = [0; LONGEST + 1];
+    socket.set_read_timeout(Some(TRY))?;
+    for seq in 1.. {
+        let body = Body::Carried(Message::Look(seq).encode());
+        let question = Packet { fleet: fleet.into(), from: None, body, news: Vec::new() };
+        socket.send_to(&question.encode(), at)?;
+        if Instant::now() >= end {
+            break;
+        }
+        let Ok(n) = socket.recv(&mut bytes) else { continue };
+        let Ok(packet) = Packet::decode(&bytes[..n], fleet) else { continue };
+        let Packet { from: Some(me), body: Body::Carried(told), .. } = packet else { continue };
+        if let Some(Message::Looked(_, look)) = Message::decode(&told) {
+            return Ok((me, look));
+        }
+    }
+    Err(AskError::Silent(at))
+}
+
+/// Asks the member at this address what it sees, for so long at most.
+pub fn ask(at: SocketAddr, fleet: &str, most: Duration) -> Result<Told, AskError> {
+    let socket = socket(at)?;
     let end = Instant::now() + most;
     let mut members: Vec<Record> = Vec::new();
     let (mut seq, mut after): (u32, Name) = (0, "".into());
--- a/crates/fleet-wire/src/config.rs
+++ b/crates/fleet-wire/src/config.rs
@@ -1,5 +1,6 @@
 //! The fleet's file, in JSON5.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -8,6 +9,7 @@
 use mothwinch_cells::FileError;
 use mothwinch_fleet::packet::NAME;
 use mothwinch_fleet::{Name, Settings};
+use mothwinch_shared::Plan;
 use serde::Deserialize;
 
 /// What a member is told of its fleet.
@@ -29,6 +31,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Times and sizes.
     pub settings: Settings,
+    /// Members of which one grants the budgets.
+    pub keepers: Vec<Name>,
+    /// The budgets.
+    pub budgets: Vec<Plan>,
 }
 
 /// Why a fleet's file can't be used.
@@ -65,8 +71,27 @@
     answer_ms: Option<u64>,
     forget_s: Option<u64>,
     members: Option<usize>,
+    #[serde(default)]
+    keepers: Vec<String>,
+    #[serde(default)]
+    budgets: BTreeMap<String, FileBudget>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileBudget {
+    total: u64,
+    #[serde(default)]
+    floors: BTreeMap<String, u64>,
+}
+
+/// The budget of ledger calls at once, the one that there is so far.
+pub const LEDGER: &str = "ledger";
+/// Keepers at most: each change of granter asks all of them.
+const KEEPERS: usize = 7;
+/// Units of a budget at most.
+const TOTAL: u64 = 1_000_000;
+
 impl Config {
     /// Reads a fleet's file.
     pub fn read(path: &Path) -> Result<Config, ConfigError> {
@@ -125,6 +150,26 @@
         if file.listen.ip().is_unspecified() && file.advertise.is_none() {
             return Err(bad("listen", "names no address, so advertise has to".into()));
         }
+        let keepers: BTreeSet<&String> = file.keepers.iter().collect();
+        if keepers.len() != file.keepers.len() || keepers.iter().any(|k| k.is_empty() || k.len() > NAME) {
+            return Err(bad("keepers", "names a member twice, or none".into()));
+        }
+        if file.keepers.len() > KEEPERS || !file.keepers.is_empty() && file.keepers.len().is_multiple_of(2) {
+            return Err(bad("keepers", format!("are not 1, 3, 5 or {KEEPERS}")));
+        }
+        if !file.budgets.is_empty() && file.keepers.is_empty() {
+            return Err(bad("budgets", "need keepers, of whom one grants them".into()));
+        }
+        for (name, budget) in &file.budgets {
+            let field = format!("budgets.{name}");
+            if name != LEDGER {
+                return Err(bad(&field, format!("is not known here: {LEDGER} is")));
+            }
+            let floors = budget.floors.values().try_fold(0u64, |sum, f| sum.checked_add(*f));
+            if budget.total > TOTAL || floors.is_none_or(|floors| floors > budget.total) {
+                return Err(bad(&field, format!("has floors above its total, or more than {TOTAL}")));
+            }
+        }
         let mut settings = Settings::default();
         if let Some(ms) = file.period_ms {
             settings.period = Duration::from_millis(ms);
@@ -153,6 +198,16 @@
             serves: file.serves,
             seeds: file.seeds,
             settings,
+            keepers: file.keepers.into_iter().map(Into::into).collect(),
+            budgets: file
+                .budgets
+                .into_iter()
+                .map(|(name, b)| Plan {
+                    name: name.into(),
+                    total: b.total,
+                    floors: b.floors.into_iter().map(|(n, units)| (n.into(), units)).collect(),
+                })
+                .collect(),
         })
     }
 }
--- a/crates/fleet-wire/src/lib.rs
+++ b/crates/fleet-wire/src/lib.rs
@@ -3,10 +3,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod allowance;
 mod ask;
 mod config;
 mod shell;
 
-pub use ask::{ask, AskError, Told};
-pub use config::{Config, ConfigError};
+pub use allowance::Allowance;
+pub use ask::{ask, look, AskError, Told};
+pub use config::{Config, ConfigError, LEDGER};
 pub use shell::{start, Handle, Me, Seen};
--- a/crates/fleet-wire/src/shell.rs
+++ b/crates/fleet-wire/src/shell.rs
@@ -4,6 +4,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -12,11 +13,13 @@
 use mio::net::UdpSocket;
 use mio::{Events, Interest, Poll, Token, Waker};
 use mothwinch_fleet::packet::LONGEST;
-use mothwinch_fleet::{word, Body, Conclusion, Name, Out, Packet, Record, Said, Standing, View};
+use mothwinch_fleet::{word, Body, Conclusion, Malformed, Name, Out, Packet, Record, Said, Standing, View};
+use mothwinch_shared::{Budgets, Message, Out as Shared, Plan, Spend, Terms};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{debug, info, warn, Logger};
 
+use crate::allowance::{Allowance, Usage};
 use crate::config::Config;
 
 const SOCKET: Token = Token(0);
@@ -94,9 +97,14 @@
     seen: Arc<ArcSwap<Seen>>,
     words: Sender<Word>,
     waker: Arc<Waker>,
+    allowances: Vec<(Name, Allowance)>,
 }
 
 impl Handle {
+    /// What this node may spend of the budget of this name, where the file has it.
+    pub fn allowance(&self, budget: &str) -> Option<Allowance> {
+        self.allowances.iter().find(|(name, _)| **name == *budget).map(|(_, a)| a.clone())
+    }
     /// What the view sees.
     pub fn seen(&self) -> Arc<Seen> {
         self.seen.load_full()
@@ -137,6 +145,10 @@
     words: Receiver<Word>,
     seen: Arc<ArcSwap<Seen>>,
     changed: Box<dyn Fn() + Send>,
+    budgets: Option<Budgets>,
+    allowances: Vec<(Name, Allowance)>,
+    /// The granter when it was last looked at, for the log.
+    granter: Option<Name>,
     /// Something is to be published, at this time.
     publish: Option<Instant>,
     conclusion: Conclusion,
@@ -189,6 +201,20 @@
         word: word::Word { life, incarnation: 0, said: Said::Joining, standing: Standing::Present },
         by: 0,
     };
+    let began = Instant::now();
+    let budgets = (!config.budgets.is_empty()).then(|| {
+        let (keepers, plans) = (config.keepers.clone(), config.budgets.clone());
+        Budgets::new(Terms::default(), record.name.clone(), life, keepers, plans, Duration::ZERO)
+    });
+    let nothing = Spend { floor: (0, Duration::ZERO), leased: (0, Duration::ZERO) };
+    let allowance = || Allowance {
+        began,
+        spend: Arc::new(ArcSwap::from_pointee(nothing)),
+        usage: Arc::new(Usage::default()),
+        waker: waker.clone(),
+    };
+    let allowances: Vec<(Name, Allowance)> =
+        config.budgets.iter().map(|b| (b.name.clone(), allowance())).collect();
     let view = View::new(
         config.settings.clone(),
         config.fleet.clone(),
@@ -198,7 +224,7 @@
     );
     let seen = Arc::new(ArcSwap::from_pointee(Seen::of(&view)));
     let (tell, words) = bounded(MAILBOX);
-    let handle = Handle { at, seen: seen.clone(), words: tell, waker };
+    let handle = Handle { at, seen: seen.clone(), words: tell, waker, allowances: allowances.clone() };
     let shell = Shell {
         conclusion: view.conclusion().0,
         succeeded: false,
@@ -206,7 +232,10 @@
         view,
         poll,
         socket,
-        began: Instant::now(),
+        began,
+        budgets,
+        allowances,
+        granter: None,
         rng: ChaCha8Rng::seed_from_u64(seed),
         words,
         seen,
@@ -250,6 +279,7 @@
                 self.view.tick(now, &mut |n| rng.random_range(0..n.max(1)), &mut out);
                 self.carry_out(out);
             }
+            self.tick_budgets();
             self.try_rebind();
             self.publish_if_due();
         }
@@ -263,7 +293,78 @@
             None => REBIND,
         };
         let until = |at: Option<Instant>| at.map_or(next, |at| at.saturating_duration_since(now));
-        next.min(until(self.publish)).min(until(self.rebind))
+        let budgets =
+            self.budgets.as_ref().filter(|_| self.socket.is_some()).map_or(Duration::MAX, Budgets::next);
+        let budgets = budgets.saturating_sub(self.began.elapsed());
+        next.min(until(self.publish)).min(until(self.rebind)).min(budgets)
+    }
+
+    /// Budgets: what is used and wanted, what is due, and what may be spent from now on.
+    fn tick_budgets(&mut self) {
+        let now = self.began.elapsed();
+        let Some(mut budgets) = self.budgets.take_if(|_| self.socket.is_some()) else { return };
+        for (at, (_, allowance)) in self.allowances.iter().enumerate() {
+            let usage = &allowance.usage;
+            budgets.wants(at, usage.in_use.load(Relaxed), usage.want.load(Relaxed), now);
+        }
+        if budgets.next() <= now {
+            let mut out = Vec::new();
+            let draw = self.rng.random::<f64>();
+            budgets.tick(now, draw, self.view.there(), &mut out);
+            self.carry_shared(out);
+        }
+        self.publish_budgets(&budgets);
+        self.budgets = Some(budgets);
+    }
+    fn publish_budgets(&mut self, budgets: &Budgets) {
+        let mut changed = false;
+        for (at, (name, allowance)) in self.allowances.iter().enumerate() {
+            let Some(spend) = budgets.spend(at) else { continue };
+            let before = **allowance.spend.load();
+            if spend != before {
+                allowance.spend.store(Arc::new(spend));
+                changed |= spend.leased.0 != before.leased.0;
+                if spend.leased.0 != before.leased.0 {
+                    debug!(self.log, "budget"; "name" => &**name, "leased" => spend.leased.0, "own" => spend.floor.0);
+                }
+            }
+        }
+        let granter = budgets.granter(self.began.elapsed()).map(|(name, _)| name);
+        if granter != self.granter {
+            info!(self.log, "budgets"; "granter" => granter.as_deref().unwrap_or("nobody"));
+            self.granter = granter;
+        }
+        if changed {
+            (self.changed)();
+        }
+    }
+    fn carry_shared(&mut self, out: Vec<Shared>) {
+        let mut sent = Vec::new();
+        for Shared::Tell(to, message) in out {
+            // One that is not there is told nothing; it asks, or is asked again.
+            self.view.carry(&to, message.encode(), &mut sent);
+        }
+        self.carry_out(sent);
+    }
+    /// A message on shared state came.
+    fn hear_shared(&mut self, from: Option<Name>, bytes: &[u8], source: SocketAddr) {
+        let now = self.began.elapsed();
+        let Some(message) = Message::decode(bytes) else { return self.drop_one(source, &Malformed::Bounds) };
+        let Some(mut budgets) = self.budgets.take() else { return };
+        let mut out = Vec::new();
+        match (message, from) {
+            (Message::Look(seq), None) => {
+                let body = Body::Carried(Message::Looked(seq, budgets.look(now)).encode());
+                let from = Some(self.view.me().clone());
+                let answer = Packet { fleet: self.config.fleet.clone(), from, body, news: Vec::new() };
+                self.carry_out(vec![Out::Send(source, answer)]);
+            }
+            (message, Some(from)) => budgets.hear(&from, message, now, &mut out),
+            (_, None) => {}
+        }
+        self.carry_shared(out);
+        self.publish_budgets(&budgets);
+        self.budgets = Some(budgets);
     }
 
     /// A word of this process; true if it was the last.
@@ -282,6 +383,12 @@
                 }
                 self.view.set_seeds(config.seeds.clone());
                 self.view.set_settings(config.settings.clone());
+                if let Some(budgets) = &mut self.budgets {
+                    let total =
+                        |name: &Name| config.budgets.iter().find(|b| b.name == *name).map(|b| b.total);
+                    let of = |b: &Plan| total(&b.name).unwrap_or(b.total);
+                    budgets.set_totals(&self.config.budgets.iter().map(of).collect());
+                }
                 self.config = *config;
             }
             Word::End { silently, done } => {
@@ -308,12 +415,20 @@
             let Some(socket) = &self.socket else { return false };
             match socket.recv_from(&mut bytes) {
                 Ok((n, source)) => match Packet::decode(&bytes[..n], &self.config.fleet) {
-                    Ok(packet) => {
+                    Ok(mut packet) => {
+                        let carried = match &mut packet.body {
+                            Body::Carried(bytes) => Some(std::mem::take(bytes)),
+                            _ => None,
+                        };
+                        let from = packet.from.as_ref().map(|r| r.name.clone());
                         let mut out = Vec::new();
                         let rng = &mut self.rng;
                         let mut draw = |n: usize| rng.random_range(0..n.max(1));
                         self.view.hear(packet, source, self.began.elapsed(), &mut draw, &mut out);
                         self.carry_out(out);
+                        if let Some(bytes) = carried {
+                            self.hear_shared(from, &bytes, source);
+                        }
                     }
                     Err(why) => self.drop_one(source, &why),
                 },
--- a/crates/fleet/src/packet.rs
+++ b/crates/fleet/src/packet.rs
@@ -79,6 +79,8 @@
     },
     /// Records of the sender's table, as a comparison asked for.
     Page,
+    /// A message of what stands on the view, in its own encoding.
+    Carried(Vec<u8>),
     /// What do you see? Asked by tools.
     Query {
         /// The asker's number.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -229,7 +229,11 @@
             return;
         }
         let fixed = 64 + self.fleet.len() + self.me.size();
-        let body_size = if let Body::Compare { sums, .. } = &body { sums.len() * 10 + 4 } else { 0 };
+        let body_size = match &body {
+            Body::Compare { sums, .. } => sums.len() * 10 + 4,
+            Body::Carried(bytes) => bytes.len() + 4,
+            _ => 0,
+        };
         let used = fixed + body_size + first.iter().map(Record::size).sum::<usize>();
         let told = self.settings.tellings(self.present());
         // The sender's own word stands in every datagram, so it needs no place among the news.
@@ -239,6 +243,18 @@
         out.push(Out::Send(to, packet));
     }
 
+    /// Carries a message of what stands on the view to a member; false where none of this name is there.
+    pub fn carry(&mut self, to: &str, bytes: Vec<u8>, out: &mut Vec<Out>) -> bool {
+        let there = self.table.get(to).filter(|m| m.record.word.present());
+        let Some(at) = there.map(|m| m.record.at) else { return false };
+        self.send(at, Body::Carried(bytes), vec![], out);
+        true
+    }
+    /// Names of the members that are there.
+    pub fn there(&self) -> &[Name] {
+        self.table.present()
+    }
+
     /// Up to `count` members that are there and fit, drawn.
     fn some(&self, count: usize, draw: Draw, fits: impl Fn(&Record) -> bool) -> Vec<(Name, SocketAddr)> {
         let present = self.table.present();
@@ -318,7 +334,7 @@
             }
             Body::Compare { sums, answer } => self.compare(&sums, answer, reply, now, draw, out),
             Body::Query { seq, after } => self.answer_query(seq, &after, source, now, out),
-            Body::Ping { .. } | Body::Gossip | Body::Page | Body::Answer { .. } => {}
+            Body::Ping { .. } | Body::Gossip | Body::Page | Body::Carried(_) | Body::Answer { .. } => {}
         }
         self.conclude(now);
     }
@@ -553,8 +569,10 @@
         let held = self.table.get(&record.name).map(|m| m.record.word);
         match take(held.as_ref(), &record.word) {
             Take::Nothing => {
-                let same = held.is_some_and(|held| held == record.word);
-                if same && record.word.standing == Standing::Suspected {
+                // Who has given it up shares the suspicion as well as who suspects it.
+                let of = |word: &Word| (word.life, word.incarnation);
+                let same = held.is_some_and(|held| of(&held) == of(&record.word));
+                if same && record.word.standing != Standing::Present {
                     self.share(&record.name.clone(), record.by);
                 }
             }
@@ -826,8 +844,11 @@
             .collect();
         for record in over {
             match give_up(&record.word) {
-                // Each gives up by its own count, so this is no news to those who suspect already.
-                Some(word) => self.hold(Record { word, ..record }, false, now, out),
+                // Each gives up by its own count, in which this one counts as an accuser.
+                Some(word) => {
+                    let by = self.mark();
+                    self.hold(Record { word, by, ..record }, true, now, out);
+                }
                 None => drop(self.suspects.remove(&record.name)),
             }
         }
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -9,7 +9,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use mothwinch_fleet_wire::{ask, Told};
+use mothwinch_fleet_wire::{ask, look, Told};
+use mothwinch_shared::Look;
 use mothwinch_stand_ins::{command, config, lock, until, Database, Executor, Front, List, Node, Scratch};
 use serde_json::{json, Value};
 
@@ -385,6 +386,14 @@
         let at = self.node(name).logged("fleet")?;
         ask(at, FLEET, ASK).ok()
     }
+    /// What a process holds of the budgets, asked past the switch.
+    pub fn look(&self, name: &str) -> Option<Look> {
+        look(self.node(name).logged("fleet")?, FLEET, ASK).ok().map(|(_, look)| look)
+    }
+    /// Who grants, as this process knows.
+    pub fn granter(&self, name: &str) -> Option<String> {
+        self.look(name)?.granter.map(|name| name.to_string())
+    }
     /// Whether all that run in each part hold exactly each other, and the same of each other.
     pub fn settled(&self) -> bool {
         let mut parts: BTreeMap<u8, Vec<&String>> = BTreeMap::new();
--- a/crates/shared/src/book.rs
+++ b/crates/shared/src/book.rs
@@ -1,6 +1,6 @@
 //! What the granter of one budget has granted, and what of it may still be spent.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use mothwinch_fleet::Name;
@@ -40,6 +40,8 @@
     /// What each may have at the most, so that the wants of all fit; and when that is next worked out.
     level: u64,
     level_until: Duration,
+    /// Who may have one more: what does not divide.
+    extra: BTreeSet<(Name, u64)>,
 }
 
 impl Book {
@@ -52,6 +54,7 @@
             holders: BTreeMap::new(),
             level: 0,
             level_until: now,
+            extra: BTreeSet::new(),
         }
     }
     /// The pool is another from now on. A smaller one is in force once what is granted beyond it has been asked back.
@@ -84,7 +87,8 @@
         }
         // Nothing is known of what others may still spend of an earlier granter's: what it has, it keeps, or less.
         let free = if now < self.unknown_until { 0 } else { self.pool.saturating_sub(self.counted(now)) };
-        let wanted = ask.want.min(self.level);
+        let more = u64::from(self.extra.contains(&(name.clone(), life)));
+        let wanted = ask.want.min(self.level.saturating_add(more));
         let units = if wanted <= has { wanted } else { has + free.min(wanted - has) };
         let holder = self.holders.entry((name.clone(), life)).or_default();
         holder.granted.push((ask.seq, units, ended));
@@ -99,15 +103,19 @@
         let mut wants: Vec<u64> = self.holders.values().map(|h| h.want).collect();
         wants.sort_unstable();
         let (mut left, mut count) = (self.pool, wants.len() as u64);
-        self.level = u64::MAX;
+        (self.level, self.extra) = (u64::MAX, BTreeSet::new());
         for want in wants {
             let equal = left / count.max(1);
             if want > equal {
-                // What does not divide is left over: less than one for each.
-                self.level = equal.max(1);
+                self.level = equal;
                 break;
             }
             (left, count) = (left - want, count - 1);
         }
+        if self.level < u64::MAX {
+            let rest = (left - self.level * count) as usize;
+            let more = self.holders.iter().filter(|(_, h)| h.want > self.level).map(|(key, _)| key.clone());
+            self.extra = more.take(rest).collect();
+        }
     }
 }
--- a/crates/shared/src/budgets.rs
+++ b/crates/shared/src/budgets.rs
@@ -65,8 +65,58 @@
     },
     /// That one grants, under this term.
     Reigns(Name, Term),
+    /// What do you hold? Asked by tools, under their number.
+    Look(u32),
+    /// What this node holds, and where it grants, what others hold.
+    Looked(u32, Look),
 }
 
+impl Message {
+    /// Its bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        // These types into a growing buffer have no way to fail; nothing at all is no message.
+        postcard::to_allocvec(self).unwrap_or_default()
+    }
+    /// The message that these bytes are, if they are one.
+    pub fn decode(bytes: &[u8]) -> Option<Message> {
+        match postcard::take_from_bytes(bytes) {
+            Ok((message, [])) => Some(message),
+            _ => None,
+        }
+    }
+}
+
+/// What a node tells of its budgets, for people.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Look {
+    /// The granter that it knows.
+    pub granter: Option<Name>,
+    /// Its budgets.
+    pub budgets: Vec<BudgetLook>,
+}
+
+/// One budget as a node sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BudgetLook {
+    /// Its name.
+    pub name: Name,
+    /// The total, by this node's file.
+    pub total: Units,
+    /// This node's own for good, and whether it may be spent yet.
+    pub floor: (Units, bool),
+    /// What it holds on lease, and for how many milliseconds more.
+    pub leased: (Units, u64),
+    /// What it uses, and what it wants.
+    pub in_use: (Units, Units),
+    /// Where it grants: who is counted for how much, and wants how much; the largest first, some of them.
+    pub holders: Vec<(Name, Units, Units)>,
+    /// Where it grants: what all are counted for.
+    pub counted: Units,
+}
+
+/// Holders told of at the most, as a datagram holds no more.
+const LOOK: usize = 16;
+
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
@@ -167,6 +217,31 @@
         let (term, books) = self.books.as_ref()?;
         self.election.reigns(now).filter(|(reign, _)| reign == term).map(|_| books.as_slice())
     }
+    /// What this node holds, for people.
+    pub fn look(&self, now: Duration) -> Look {
+        let books = self.books(now);
+        let budget = |(at, (plan, part)): (usize, (&Plan, &Part))| {
+            let (floor, from) = part.floor();
+            let (leased, until) = part.lease();
+            let left = until.saturating_sub(now);
+            let book = books.and_then(|b| b.get(at));
+            let mut holders: Vec<(Name, Units, Units)> =
+                book.map_or(vec![], |b| b.holders(now).map(|(n, c, w)| (n.clone(), c, w)).collect());
+            holders.sort_by_key(|(_, counted, _)| std::cmp::Reverse(*counted));
+            holders.truncate(LOOK);
+            BudgetLook {
+                name: plan.name.clone(),
+                total: plan.total,
+                floor: (floor, now >= from),
+                leased: (if left.is_zero() { 0 } else { leased }, left.as_millis() as u64),
+                in_use: part.used(),
+                holders,
+                counted: book.map_or(0, |b| b.counted(now)),
+            }
+        };
+        let budgets = self.plans.iter().zip(&self.parts).enumerate().map(budget).collect();
+        Look { granter: self.election.granter(now).map(|(name, _)| name), budgets }
+    }
     /// When [`Budgets::tick`] is due.
     pub fn next(&self) -> Duration {
         self.election.next().min(self.next_ask)
@@ -229,6 +304,8 @@
                 self.send_votes(votes, out);
                 self.look_at_reign(now, &[], out);
             }
+            // Questions of tools are answered by who knows where they came from.
+            Message::Look(_) | Message::Looked(..) => {}
             Message::Reigns(granter, term) => {
                 if granter != self.me && self.election.hear_granter(&granter, term, now) {
                     self.next_ask = now;
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -18,7 +18,7 @@
 mod terms;
 
 pub use book::Book;
-pub use budgets::{Budgets, Message, Out, Plan, Spend, Totals, Units};
+pub use budgets::{BudgetLook, Budgets, Look, Message, Out, Plan, Spend, Totals, Units};
 pub use election::{Election, Term, Vote};
 pub use part::{Ask, Grant, Part};
 pub use terms::Terms;
--- a/crates/shared/src/part.rs
+++ b/crates/shared/src/part.rs
@@ -66,6 +66,10 @@
     pub fn wants(&mut self, in_use: u64, want: u64) {
         (self.in_use, self.want) = (in_use, want);
     }
+    /// What is in use, and what could be.
+    pub fn used(&self) -> (u64, u64) {
+        (self.in_use, self.want)
+    }
     /// What could be spent.
     pub fn want(&self) -> u64 {
         self.want
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -229,7 +229,8 @@
 }
 
 /// The database. What a call does is told by its body: `ok`, `busy`, `gone`, `wrong`, `break`, `raw#REPLY`, `forever` (a
-/// head that does not end) or `silent`.
+/// head that does not end), `hold#MS`, which is answered after so long and counted while it is in hand, or `silent`. What
+/// is held is in hand until its time is over, whether anybody still waits for it or not.
 #[derive(Clone)]
 pub struct Database {
     pub address: SocketAddr,
@@ -238,6 +239,18 @@
     connections: Arc<Mutex<(usize, usize)>>,
     /// Silent calls in hand, and the most there were.
     silent: Arc<Mutex<(usize, usize)>>,
+    held: Arc<Mutex<Held>>,
+}
+
+/// Calls that are held.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Held {
+    /// In hand now.
+    pub now: usize,
+    /// The most that were in hand at once since this was last taken.
+    pub most: usize,
+    /// All so far.
+    pub all: usize,
 }
 
 impl Database {
@@ -245,7 +258,8 @@
         let calls = Arc::new(Mutex::new(HashMap::new()));
         let connections = Arc::new(Mutex::new((0, 0)));
         let silent = Arc::new(Mutex::new((0, 0)));
-        let (shared, count, hand) = (calls.clone(), connections.clone(), silent.clone());
+        let held = Arc::new(Mutex::new(Held::default()));
+        let (shared, count, hand, holds) = (calls.clone(), connections.clone(), silent.clone(), held.clone());
         let address = serve(move |stream| {
             lock(&count).0 += 1;
             lock(&count).1 += 1;
@@ -259,6 +273,18 @@
                 };
                 match body.split('#').next().unwrap_or("") {
                     "ok" => reply("200 OK", "", &format!("rows for {body}")),
+                    "hold" => {
+                        {
+                            let mut held = lock(&holds);
+                            (held.now, held.all) = (held.now + 1, held.all + 1);
+                            held.most = held.most.max(held.now);
+                        }
+                        let ms = body.split('#').nth(1).and_then(|ms| ms.parse().ok()).unwrap_or(0);
+                        thread::sleep(Duration::from_millis(ms));
+                        // Counted down first: who has the answer may begin the next at once.
+                        lock(&holds).now -= 1;
+                        reply("200 OK", "", &format!("rows for {body}"));
+                    }
                     "busy" => reply("503 Busy", "Never-Started: 1\r\n", ""),
                     "gone" => reply("409 Conflict", "Never-Started: 1\r\n", ""),
                     "wrong" => reply("500 Wrong", "", ""),
@@ -288,7 +314,14 @@
             }
             lock(&count).1 -= 1;
         });
-        Database { address, calls, connections, silent }
+        Database { address, calls, connections, silent, held }
+    }
+    /// What is held; the most begins anew.
+    pub fn held(&self) -> Held {
+        let mut held = lock(&self.held);
+        let was = *held;
+        held.most = held.now;
+        was
     }
     /// The most silent calls in hand at once.
     pub fn most_silent(&self) -> usize {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -344,6 +344,8 @@
     Leaving(Span),
     /// Another process takes over; this one, which goes on with what it has and what still comes, ends after this long.
     Replaced(Span),
+    /// This server's part of the calls at once from now on, where servers share them by parts that change.
+    CallsOut(f64),
     /// A wake-up asked for.
     Wake(Gauges),
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -190,8 +190,11 @@
     let site = Arc::new(config.site);
     let database_log = log.new(o!("actor" => "database"));
     let database = Arc::new(Address::new(config.database));
-    let calls = database::start(&database, &limits, &module, &database_log).map_err(system("threads"))?;
-    let peers = Peers { executor: to_executor, database: Box::new(move |call| calls.make(call)) };
+    let guard = in_fleet.as_ref().filter(|f| !f.budgets.is_empty()).map(|_| database::Guard::default());
+    let calls = database::start(&database, guard.clone(), &limits, &module, &database_log)
+        .map_err(system("threads"))?;
+    let waiting = guard.clone().map(|budget| Box::new(move |requests| budget.waits(requests)) as Box<_>);
+    let peers = Peers { executor: to_executor, database: Box::new(move |call| calls.make(call)), waiting };
     let told = (site.clone(), config.seed, config.stop);
     let actor = Module::new(
         told,
@@ -251,7 +254,7 @@
     let mut standing =
         config.door.map_or(Standing::Alone, |_| Standing::new(&std::env::temp_dir(), &config.name));
     standing.look(board.state(), &log);
-    let mut member = Member::new(in_fleet, cli.fleet.as_deref(), &config.name, &limits, &log);
+    let mut member = Member::new(in_fleet, cli.fleet.as_deref(), &config.name, &limits, guard, &log);
     // One that is to replace another stays out of the fleet until it takes clients: the name is the other's so long.
     if standing.beside() != Beside::Taking {
         member.join(board.state(), serves).map_err(system("fleet"))?;
--- a/src/member.rs
+++ b/src/member.rs
@@ -9,6 +9,7 @@
 use mothwinch_service::State;
 use slog::{info, o, warn, Logger};
 
+use crate::net::database::Guard;
 use crate::node::Limits;
 
 /// The node as a member of its fleet, where a file says that there is one.
@@ -17,6 +18,7 @@
     file: Option<PathBuf>,
     name: String,
     stack: usize,
+    guard: Option<Guard>,
     handle: Option<fleet::Handle>,
     log: Logger,
 }
@@ -28,6 +30,7 @@
         file: Option<&Path>,
         name: &str,
         limits: &Limits,
+        guard: Option<Guard>,
         log: &Logger,
     ) -> Member {
         let log = log.new(o!("actor" => "fleet"));
@@ -36,6 +39,7 @@
             file: file.map(Path::to_path_buf),
             name: name.into(),
             stack: limits.stack,
+            guard,
             handle: None,
             log,
         }
@@ -44,8 +48,13 @@
     pub fn join(&mut self, state: State, serves: Option<SocketAddr>) -> io::Result<()> {
         if let (None, Some(config)) = (&self.handle, self.config.take()) {
             let me = fleet::Me { name: self.name.as_str().into(), serves: None };
-            let handle = fleet::start(config, me, self.stack, Box::new(|| {}), &self.log)?;
+            let budget = self.guard.clone();
+            let changed = Box::new(move || budget.iter().for_each(|b| b.look()));
+            let handle = fleet::start(config, me, self.stack, changed, &self.log)?;
             info!(self.log, "fleet"; "at" => %handle.at);
+            if let (Some(guard), Some(allowance)) = (&self.guard, handle.allowance(fleet::LEDGER)) {
+                guard.joined(allowance);
+            }
             self.handle = Some(handle);
         }
         if let (Some(handle), Some(at)) = (&self.handle, serves) {
--- a/src/net/database.rs
+++ b/src/net/database.rs
@@ -7,20 +7,21 @@
 //! has nothing to tell that from the next call's reply; and one that the database has forgotten is reset at the next
 //! call, which looks as if that call might have run. On a fresh connection there is neither doubt.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::io::{self, ErrorKind, Read, Write};
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
-use std::sync::Arc;
-use std::time::Instant;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{bounded, Receiver, Sender, TryRecvError};
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token, Waker};
+use mothwinch_fleet_wire::Allowance;
 use slog::{debug, warn, Logger};
 
 use super::{spawn, Address};
-use crate::node::{Body, Call, CallResult, Limits, Msg};
+use crate::node::{Body, Call, CallResult, Limits, Msg, Seldom};
 
 const MAILBOX: Token = Token(0);
 
@@ -43,14 +44,58 @@
     }
 }
 
+/// The fleet's budget of calls at once, where a file has it. Until this node is a member it may make none.
+#[derive(Default)]
+pub struct Budget {
+    allowance: OnceLock<Allowance>,
+    /// Requests that wait for leave to call, as the module last told.
+    waiting: AtomicUsize,
+    waker: OnceLock<Arc<Waker>>,
+}
+/// Shared by the actor, the module and who joins the fleet.
+pub type Guard = Arc<Budget>;
+
+impl Budget {
+    /// The node is a member from now on. It becomes one once.
+    pub fn joined(&self, allowance: Allowance) {
+        let _ = self.allowance.set(allowance);
+    }
+    /// So many requests wait for leave to call.
+    pub fn waits(&self, requests: usize) {
+        if self.waiting.swap(requests, SeqCst) != requests {
+            self.look();
+        }
+    }
+    /// What may be spent has changed, or what is wanted: the actor is to look, though it has no call to make.
+    pub fn look(&self) {
+        if let Some(waker) = self.waker.get() {
+            let _ = waker.wake();
+        }
+    }
+}
+
 /// Starts the actor.
-pub fn start(to: &Arc<Address>, limits: &Limits, module: &Sender<Msg>, log: &Logger) -> io::Result<Calls> {
+pub fn start(
+    to: &Arc<Address>,
+    guard: Option<Guard>,
+    limits: &Limits,
+    module: &Sender<Msg>,
+    log: &Logger,
+) -> io::Result<Calls> {
     let poll = Poll::new()?;
     let waker = Arc::new(Waker::new(poll.registry(), MAILBOX)?);
+    if let Some(budget) = &guard {
+        let _ = budget.waker.set(waker.clone());
+    }
     let woken = Arc::new(AtomicBool::new(false));
     let (sender, inbox) = bounded(limits.database_lanes * 4);
     let lanes = Lanes {
         to: to.clone(),
+        guard,
+        waiting: VecDeque::new(),
+        lingering: Vec::new(),
+        kept_out: Seldom::new(limits.log_seldom),
+        told_places: usize::MAX,
         limits: limits.clone(),
         poll,
         inbox,
@@ -128,6 +173,14 @@
 
 struct Lanes {
     to: Arc<Address>,
+    guard: Option<Guard>,
+    /// Calls that wait for a place, and since when.
+    waiting: VecDeque<(Instant, Call)>,
+    /// Calls that were given up without a whole reply: until when the database may have them in hand.
+    lingering: Vec<Instant>,
+    kept_out: Seldom,
+    /// Places that the module was last told of.
+    told_places: usize,
     limits: Limits,
     poll: Poll,
     inbox: Receiver<Call>,
@@ -145,7 +198,12 @@
         let mut events = Events::with_capacity(self.limits.database_lanes * 2);
         loop {
             let first = self.exchanges.values().map(|e| e.late).min();
-            let wait = first.map(|at| at.saturating_duration_since(Instant::now()));
+            let now = Instant::now();
+            let mut wait = first.map(|at| at.saturating_duration_since(now));
+            if self.guard.is_some() && !self.waiting.is_empty() {
+                // A place comes by time alone, as a lease or by the end of what lingers.
+                wait = Some(wait.map_or(self.limits.database_look, |w| w.min(self.limits.database_look)));
+            }
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() != ErrorKind::Interrupted => {
                     // Nothing that the peer does leads here.
@@ -163,21 +221,62 @@
         }
     }
 
-    /// Takes up calls while there are lanes for them.
+    /// Takes up calls while there are lanes for them, and places by the fleet's budget where there is one.
     fn take_up(&mut self) -> Result<(), Gone> {
-        while self.exchanges.len() < self.limits.database_lanes {
-            let call = match self.inbox.try_recv() {
-                Ok(call) => call,
-                Err(TryRecvError::Empty) => break,
-                Err(TryRecvError::Disconnected) if self.exchanges.is_empty() => return Err(Gone),
-                Err(TryRecvError::Disconnected) => break,
-            };
-            self.begin(call)?;
+        let now = Instant::now();
+        self.lingering.retain(|until| *until > now);
+        loop {
+            let in_hand = self.exchanges.len() + self.lingering.len();
+            // No more than one round of lanes waits here; the rest stays in the mailbox, which is bounded.
+            while self.waiting.len() < self.limits.database_lanes {
+                match self.inbox.try_recv() {
+                    Ok(call) => self.waiting.push_back((now, call)),
+                    Err(TryRecvError::Empty) => break,
+                    Err(TryRecvError::Disconnected) if in_hand + self.waiting.len() == 0 => return Err(Gone),
+                    Err(TryRecvError::Disconnected) => break,
+                }
+            }
+            let mut places = self.limits.database_lanes;
+            if let Some(budget) = &self.guard {
+                let allowance = budget.allowance.get();
+                places = allowance.map_or(0, Allowance::limit) as usize;
+                if let Some(allowance) = allowance {
+                    // One more than can be used now: what comes next is not to wait for an answer of the granter's.
+                    let wanted = in_hand + self.waiting.len() + budget.waiting.load(SeqCst) + 1;
+                    allowance.uses(in_hand as u64, wanted as u64);
+                }
+            }
+            if self.guard.is_some() && self.told_places != places {
+                self.told_places = places;
+                self.module.send(Msg::CallsOut(places)).map_err(|_| Gone)?;
+            }
+            let Some((since, call)) = self.waiting.pop_front() else { return Ok(()) };
+            if self.guard.is_some() && now.saturating_duration_since(since) >= call.limit {
+                // Its time went by in the queue.
+                self.kept_out.log(|more| {
+                    warn!(self.log, "call not made: the fleet's budget gave no place in its time";
+                        "places" => places, "in_hand" => in_hand, "more" => more);
+                });
+                self.module
+                    .send(Msg::CallDone(call.id, CallResult::NeverRan, Duration::ZERO))
+                    .map_err(|_| Gone)?;
+            } else if self.exchanges.len() < self.limits.database_lanes && in_hand < places {
+                self.begin(call)?;
+            } else {
+                self.waiting.push_front((since, call));
+                return Ok(());
+            }
         }
-        Ok(())
     }
 
-    fn begin(&mut self, call: Call) -> Result<(), Gone> {
+    /// How long a call may take: as long as the module says, and where the fleet counts calls, no longer than it does.
+    fn limit(&self, call: &Call) -> Duration {
+        let longest = self.guard.as_ref().and_then(|b| b.allowance.get()).map(Allowance::longest);
+        longest.map_or(call.limit, |longest| call.limit.min(longest))
+    }
+
+    fn begin(&mut self, mut call: Call) -> Result<(), Gone> {
+        call.limit = self.limit(&call);
         let begun = Instant::now();
         let to = self.to.get();
         let number = self.next;
@@ -231,6 +330,10 @@
     /// Closing gives up a call that is still out, and what else may come on the connection.
     fn close(&mut self, number: usize, how: Result<HttpReply, ReplyError>) -> Result<(), Gone> {
         let Some(Exchange { call, begun, .. }) = self.exchanges.remove(&number) else { return Ok(()) };
+        if self.guard.is_some() && !matches!(how, Ok(_) | Err(ReplyError::NotSent(_))) {
+            // The database was told by when it has to end this, and may have it in hand until then.
+            self.lingering.push(begun + call.limit);
+        }
         self.end(&call, begun, how)
     }
 
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -61,6 +61,8 @@
     pub executor_quiet: Duration,
     /// Database connections, and calls in hand at once.
     pub database_lanes: usize,
+    /// Between looks for a place while calls wait for one.
+    pub database_look: Duration,
     /// Bytes of the head of a database reply, with any 1xx answers before it.
     pub database_head: usize,
     /// From the first byte of a database reply to its last: one that takes longer is spoilt.
@@ -146,6 +148,7 @@
             executor_mailbox: 16 * 1024,
             executor_quiet: Duration::from_millis(250),
             database_lanes,
+            database_look: Duration::from_millis(10),
             database_head: 8 * 1024,
             database_rest: Duration::from_millis(400),
             connect: Duration::from_millis(1000),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -50,6 +50,8 @@
     NotCarriedOut(Rid),
     /// A call ended.
     CallDone(RequestId, CallResult, Duration),
+    /// So many calls at once are this node's part of the fleet's budget from now on.
+    CallsOut(usize),
     /// The notice to leave.
     Drain,
     /// Another process of the node has taken over; this one is ended after this long.
@@ -197,4 +199,6 @@
     pub executor: Sender<ToExecutor>,
     /// The database's actor: takes a call, or says that it has no room.
     pub database: Box<dyn Fn(Call) -> bool + Send>,
+    /// Hears how many requests wait for leave to call, where the fleet shares its calls.
+    pub waiting: Option<Box<dyn Fn(usize) + Send>>,
 }
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -129,6 +129,9 @@
     /// Looks after runs that nobody waits for: their end may never be told, if a command was lost with a link. Each
     /// is stopped again, and is over when that has brought nothing for long enough.
     fn sweep(&mut self) {
+        if let Some(waiting) = &self.peers.waiting {
+            waiting(self.book.all().filter(|e| matches!(e.stage, Stage::AtCall(_))).count());
+        }
         let (again, over) = (self.limits.stop_again, self.limits.stop_given_up);
         let late = |e: &&mut Entry| e.ran() && e.answered.is_some_and(|at| at.elapsed() >= again);
         let mut gone = Vec::new();
@@ -256,6 +259,7 @@
                 self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal));
             }
             Msg::CallDone(id, result, took) => self.call_done(id, result, took),
+            Msg::CallsOut(places) => self.pending.push(Pending::Other(Event::CallsOut(places as f64))),
             Msg::Replaced(left) => {
                 let left = left.saturating_sub(self.limits.stop_margin);
                 self.pending.push(Pending::Other(Event::Replaced(Span::from_ms(left.as_secs_f64() * 1e3))));
--- /dev/null
+++ b/tests/shared.rs
@@ -0,0 +1,157 @@
+//! Budgets that the fleet shares, with processes of the program, faults between them, and a ledger that counts for itself.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use mothwinch_rig::{Plan, Rig};
+use mothwinch_stand_ins::{until, Front};
+
+const MOST: Duration = Duration::from_secs(40);
+const TOTAL: usize = 12;
+
+fn names(numbers: impl IntoIterator<Item = usize>) -> Vec<String> {
+    numbers.into_iter().map(|n| format!("n{n}")).collect()
+}
+
+/// Nodes that share so many calls at once, of which each has one of its own; three of them are keepers.
+fn fleet(count: usize, floors: bool) -> Rig {
+    let mut rig = Rig::new(5).expect("sockets");
+    let floors: Vec<String> = names(0..count).iter().filter(|_| floors).map(|n| format!("{n}: 1")).collect();
+    for n in 0..count {
+        let fleet = format!(
+            "period_ms: 200, keepers: ['n0', 'n1', 'n2'], budgets: {{ ledger: {{ total: {TOTAL}, floors: {{ {} }} }} }},",
+            floors.join(", ")
+        );
+        rig.plan(Plan { fleet, ..Plan::node(n) }).expect("sockets");
+    }
+    rig.seeds(&["n0", "n1"]);
+    let all = rig.names();
+    all.iter().for_each(|n| rig.start(n));
+    rig.up(&all.iter().map(String::as_str).collect::<Vec<_>>());
+    rig.settle(MOST);
+    rig
+}
+
+/// Clients at one node that ask for calls of 60 ms each as fast as they are answered, until the value goes.
+struct Clients {
+    end: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+}
+impl Clients {
+    fn at(rig: &Rig, name: &str, count: usize) -> Clients {
+        let clients = Clients { end: Arc::default(), served: Arc::default() };
+        let at = rig.node(name).address;
+        for _ in 0..count {
+            let (end, served) = (clients.end.clone(), clients.served.clone());
+            thread::spawn(move || {
+                let Ok(stream) = std::net::TcpStream::connect(at) else { return };
+                drop(stream);
+                let mut front = Front::connect(at);
+                while !end.load(Relaxed) {
+                    front.send("statement-read", "call:hold#60");
+                    let answer = front.answer();
+                    if answer.is_null() {
+                        return;
+                    }
+                    if answer["result"].is_object() {
+                        served.fetch_add(1, Relaxed);
+                    } else {
+                        thread::sleep(Duration::from_millis(20));
+                    }
+                }
+            });
+        }
+        clients
+    }
+    fn served(&self) -> usize {
+        self.served.load(Relaxed)
+    }
+}
+impl Drop for Clients {
+    fn drop(&mut self) {
+        self.end.store(true, Relaxed);
+    }
+}
+
+/// The ledger for so long: the most in hand, and the mean part of the total that was used.
+fn watch(rig: &Rig, long: Duration) -> (usize, f64) {
+    let end = Instant::now() + long;
+    let (mut most, mut sum, mut looks) = (0, 0, 0);
+    while Instant::now() < end {
+        let held = rig.database().held();
+        (most, sum, looks) = (most.max(held.most), sum + held.now, looks + 1);
+        thread::sleep(Duration::from_millis(5));
+    }
+    (most, sum as f64 / looks as f64 / TOTAL as f64)
+}
+
+/// Guards the total: with all nodes at full demand it is used, and the ledger never has more in hand, while the granter is
+/// killed, a node is stopped and goes on, one restarts under its name, and the fleet is cut.
+#[test]
+fn the_ledger_never_has_more_in_hand_than_the_total() {
+    let mut rig = fleet(5, true);
+    let mut clients: Vec<Clients> = rig.names().iter().map(|n| Clients::at(&rig, n, 12)).collect();
+    until("calls are made", || rig.database().held().all > 50);
+    rig.wait("most of the total is used", MOST, |rig| watch(rig, Duration::from_millis(300)).1 > 0.7)
+        .expect("it is used");
+    let granter = rig.granter("n4").expect("one grants");
+    rig.kill(&granter);
+    assert!(watch(&rig, Duration::from_secs(5)).0 <= TOTAL);
+    rig.start(&granter);
+    rig.up(&[&granter]);
+    clients.push(Clients::at(&rig, &granter, 12));
+    assert!(watch(&rig, Duration::from_secs(2)).0 <= TOTAL);
+    rig.stop("n3");
+    assert!(watch(&rig, Duration::from_secs(7)).0 <= TOTAL);
+    rig.resume("n3");
+    assert!(watch(&rig, Duration::from_secs(3)).0 <= TOTAL);
+    // Cut off, two go on with what is their own once their leases have run out.
+    rig.partition(&[names([0, 1, 2]), names([3, 4])]);
+    assert!(watch(&rig, Duration::from_secs(9)).0 <= TOTAL);
+    for name in names([3, 4]) {
+        let look = rig.look(&name).expect("it answers");
+        assert_eq!((look.budgets[0].leased.0, look.budgets[0].floor), (0, (1, true)), "{name}");
+    }
+    rig.heal();
+    rig.wait("the total is used again", MOST, |rig| watch(rig, Duration::from_millis(300)).1 > 0.7)
+        .expect("it is used");
+    assert!(watch(&rig, Duration::from_secs(1)).0 <= TOTAL);
+}
+
+/// One node wants nearly all, the others next to nothing: it gets it in seconds, and gives it back when another wants it.
+#[test]
+fn parts_move_to_where_demand_is() {
+    let rig = fleet(3, false);
+    let one = Clients::at(&rig, "n2", 24);
+    let leased = |rig: &Rig, name: &str| rig.look(name).map_or(0, |l| l.budgets[0].leased.0 as usize);
+    rig.wait("one has nearly all", MOST, |rig| leased(rig, "n2") * 10 >= TOTAL * 8).expect("it moves");
+    let (most, used) = watch(&rig, Duration::from_secs(1));
+    assert!(most <= TOTAL && used > 0.5, "{most} at most, {used:.2} used");
+    let other = Clients::at(&rig, "n1", 24);
+    rig.wait("both have about half", MOST, |rig| {
+        leased(rig, "n1") >= TOTAL / 3 && leased(rig, "n2") <= TOTAL * 2 / 3
+    })
+    .expect("it moves back");
+    assert!(watch(&rig, Duration::from_secs(1)).0 <= TOTAL);
+    let before = (one.served(), other.served());
+    until("both are served", || one.served() > before.0 + 20 && other.served() > before.1 + 20);
+}
+
+/// Guards a start: a node that no granter has answered makes no call past what is its own, and one whose own is nothing
+/// makes none.
+#[test]
+fn without_a_granter_nobody_spends_more_than_its_own() {
+    let mut rig = fleet(3, true);
+    rig.kill("n0");
+    rig.kill("n1");
+    let _clients = Clients::at(&rig, "n2", 6);
+    rig.wait("no lease is left", MOST, |rig| rig.look("n2").is_some_and(|l| l.budgets[0].leased.0 == 0))
+        .expect("leases end");
+    thread::sleep(Duration::from_millis(100));
+    rig.database().held();
+    let (most, _) = watch(&rig, Duration::from_secs(2));
+    assert_eq!(most, 1);
+    assert_eq!(rig.look("n2").expect("it answers").granter, None);
+}
