--- a/crates/fleet-wire/src/shell.rs
+++ b/crates/fleet-wire/src/shell.rs
@@ -82,6 +82,8 @@
     Say(Said),
     Serve(SocketAddr),
     Config(Box<Config>),
+    /// Another process of this name lives, or has ended.
+    Beside(bool),
     /// The last word, or none where another process goes on under the name; told back when it is out.
     End {
         silently: bool,
@@ -121,6 +123,10 @@
     pub fn reload(&self, config: Config) {
         self.tell(Word::Config(Box::new(config)));
     }
+    /// Another process of this name lives, or has ended: what is the name's own is not spent by both.
+    pub fn beside(&self, another: bool) {
+        self.tell(Word::Beside(another));
+    }
     /// Says the last word, or none where the name goes on with another process, and ends the view.
     pub fn end(&self, silently: bool) {
         let (done, ended) = bounded(1);
@@ -391,6 +397,15 @@
                 }
                 self.config = *config;
             }
+            Word::Beside(another) => {
+                if let Some(budgets) = &mut self.budgets {
+                    if another {
+                        budgets.beside_another();
+                    } else {
+                        budgets.alone_from(now);
+                    }
+                }
+            }
             Word::End { silently, done } => {
                 let mut out = Vec::new();
                 if silently {
--- a/crates/shared/src/book.rs
+++ b/crates/shared/src/book.rs
@@ -9,7 +9,7 @@
 use crate::Terms;
 
 /// A holder in one life.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Holder {
     /// The last ask.
     seq: u64,
@@ -30,7 +30,7 @@
 }
 
 /// A granter's book of one budget, for one reign.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Book {
     terms: Terms,
     pool: u64,
@@ -78,10 +78,13 @@
             // Late or doubled. What it says of the past is overtaken.
             return None;
         }
+        // What is kept for it, and given to nobody else. An ask may be late: what it says to be using may have run out since,
+        // and be another's by now. Only where this granter has given nothing yet is it taken at its word.
+        let kept = holder.counted(now);
+        let has = if now < self.unknown_until { kept.max(ask.using) } else { kept };
         // Answers before the one that it goes by will never count.
         holder.granted.retain(|(seq, _, until)| *seq >= ask.applied && now < *until);
         (holder.seq, holder.want, holder.using) = (ask.seq, ask.want, (ask.using, ended));
-        let has = holder.counted(now);
         if now >= self.level_until {
             self.work_out(now);
         }
--- a/crates/shared/src/budgets.rs
+++ b/crates/shared/src/budgets.rs
@@ -208,6 +208,15 @@
             books.iter_mut().zip(&self.plans).for_each(|(book, plan)| book.set_pool(plan.pool()));
         }
     }
+    /// Another process of this name lives: the floors are that one's.
+    pub fn beside_another(&mut self) {
+        self.parts.iter_mut().for_each(|p| p.floor_from(Duration::MAX));
+    }
+    /// It has ended; what it began has after the longest time that a call may take.
+    pub fn alone_from(&mut self, now: Duration) {
+        let from = now + self.terms.over(self.terms.longest);
+        self.parts.iter_mut().for_each(|p| p.floor_from(from));
+    }
     /// The granter, as far as this node knows.
     pub fn granter(&self, now: Duration) -> Option<(Name, Term)> {
         self.election.granter(now)
--- a/crates/shared/src/lib.rs
+++ b/crates/shared/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`Part`]: what a holder may spend.
 //! - [`Budgets`]: the three of one node, by messages and times.
 //!
-//! All safety rests on clocks that run at rates within [`Terms::drift`] of each other, and on nothing else: not on a
+//! All safety rests on clocks that run at rates within [`Terms::drift_ppm`] of each other, and on nothing else: not on a
 //! detector of failures, not on a message that arrives, not on what a clock shows.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/crates/shared/src/part.rs
+++ b/crates/shared/src/part.rs
@@ -6,7 +6,7 @@
 use crate::Terms;
 
 /// What a holder asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ask {
     /// Rises with each ask of a life.
     pub seq: u64,
@@ -19,7 +19,7 @@
 }
 
 /// What a granter answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Grant {
     /// The ask that it answers.
     pub seq: u64,
@@ -31,7 +31,7 @@
 const ASKS: usize = 64;
 
 /// One holder's part.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Part {
     terms: Terms,
     floor: u64,
@@ -66,6 +66,10 @@
     pub fn wants(&mut self, in_use: u64, want: u64) {
         (self.in_use, self.want) = (in_use, want);
     }
+    /// The floor can be spent from then on: not before another process that has it as well has ended, and what it began.
+    pub fn floor_from(&mut self, from: Duration) {
+        self.floor_from = from;
+    }
     /// What is in use, and what could be.
     pub fn used(&self) -> (u64, u64) {
         (self.in_use, self.want)
--- a/crates/shared/src/terms.rs
+++ b/crates/shared/src/terms.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 /// The times that all members of a fleet keep to; they must be the same on all of them.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
     /// How long a part may be spent, from when it was asked for. Longer than another granter takes to be found, or every
     /// change of granter would cost all parts.
@@ -14,8 +14,8 @@
     pub longest: Duration,
     /// How long a keeper is the granter, from when it asked to be.
     pub reign: Duration,
-    /// By what part two clocks' rates may differ at the most.
-    pub drift: f64,
+    /// By what part two clocks' rates may differ at the most, in millionths.
+    pub drift_ppm: u32,
 }
 
 impl Default for Terms {
@@ -26,7 +26,7 @@
             least: Duration::from_millis(50),
             longest: Duration::from_millis(1500),
             reign: Duration::from_millis(2000),
-            drift: 0.01,
+            drift_ppm: 10_000,
         }
     }
 }
@@ -34,7 +34,8 @@
 impl Terms {
     /// A time by which one that another measures as `time` is over on any clock.
     pub(crate) fn over(&self, time: Duration) -> Duration {
-        time.mul_f64((1.0 + self.drift) / (1.0 - self.drift).max(0.1))
+        let (slow, fast) = (1_000_000u32.saturating_sub(self.drift_ppm).max(1), 1_000_000 + self.drift_ppm);
+        time * fast / slow
     }
     /// After this long nothing of a part can be spent, or be in hand, that was asked for before.
     pub(crate) fn ended(&self) -> Duration {
--- a/src/main.rs
+++ b/src/main.rs
@@ -256,10 +256,12 @@
     standing.look(board.state(), &log);
     let mut member = Member::new(in_fleet, cli.fleet.as_deref(), &config.name, &limits, guard, &log);
     // One that is to replace another stays out of the fleet until it takes clients: the name is the other's so long.
+    let another = |standing: &Standing| !standing.may_take() || standing.beside() != Beside::Nobody;
+    member.beside(another(&standing));
     if standing.beside() != Beside::Taking {
         member.join(board.state(), serves).map_err(system("fleet"))?;
     }
-    let looks = if standing.may_take() { never() } else { tick(limits.seat_look) };
+    let looks = if standing.may_take() && !member.is_beside() { never() } else { tick(limits.seat_look) };
     let mut up = false;
     let mut peers = Moves {
         cells,
@@ -270,19 +272,23 @@
     };
     loop {
         select! {
-            recv(signals.leave) -> _ => break,
-            recv(signals.reload) -> _ => {
-                peers.reload(&config.name, config.listen);
-                member.reload();
+                recv(signals.leave) -> _ => break,
+                recv(signals.reload) -> _ => {
+                    peers.reload(&config.name, config.listen);
+                    member.reload();
+                }
+                recv(board.up()) -> _ => up = true,
+                recv(looks) -> _ => {
+                    standing.look(board.state(), &log);
+                    let another = |standing: &Standing| !standing.may_take() || standing.beside() != Beside::Nobody;
+        member.beside(another(&standing));
+                }
+                recv(changed) -> _ => {
+                    let _ = to_list.try_send(membership::Report::Changed);
+                    member.say(board.state());
+                }
+                recv(ended) -> _ => return Ok(ExitCode::FAILURE),
             }
-            recv(board.up()) -> _ => up = true,
-            recv(looks) -> _ => standing.look(board.state(), &log),
-            recv(changed) -> _ => {
-                let _ = to_list.try_send(membership::Report::Changed);
-                member.say(board.state());
-            }
-            recv(ended) -> _ => return Ok(ExitCode::FAILURE),
-        }
         if up && standing.may_take() {
             up = false;
             if let Some(clients) = clients.take() {
--- a/src/member.rs
+++ b/src/member.rs
@@ -20,6 +20,7 @@
     stack: usize,
     guard: Option<Guard>,
     handle: Option<fleet::Handle>,
+    beside: bool,
     log: Logger,
 }
 
@@ -41,9 +42,24 @@
             stack: limits.stack,
             guard,
             handle: None,
+            beside: false,
             log,
         }
     }
+    /// Another process of the node lives, or has ended. Told before it joins, so that nothing is spent by both. Without
+    /// budgets it does not matter.
+    pub fn beside(&mut self, another: bool) {
+        if self.guard.is_some() && self.beside != another {
+            self.beside = another;
+            if let Some(handle) = &self.handle {
+                handle.beside(another);
+            }
+        }
+    }
+    /// Whether it was told that another process lives.
+    pub fn is_beside(&self) -> bool {
+        self.beside
+    }
     /// Becomes a member if it is none yet, and says how the process stands.
     pub fn join(&mut self, state: State, serves: Option<SocketAddr>) -> io::Result<()> {
         if let (None, Some(config)) = (&self.handle, self.config.take()) {
@@ -52,6 +68,9 @@
             let changed = Box::new(move || budget.iter().for_each(|b| b.look()));
             let handle = fleet::start(config, me, self.stack, changed, &self.log)?;
             info!(self.log, "fleet"; "at" => %handle.at);
+            if self.beside {
+                handle.beside(true);
+            }
             if let (Some(guard), Some(allowance)) = (&self.guard, handle.allowance(fleet::LEDGER)) {
                 guard.joined(allowance);
             }
--- a/tests/shared.rs
+++ b/tests/shared.rs
@@ -155,3 +155,26 @@
     assert_eq!(most, 1);
     assert_eq!(rig.look("n2").expect("it answers").granter, None);
 }
+
+/// Guards what is the name's own against two processes that have the name: during a replacement only one of them spends it.
+#[test]
+fn what_is_the_names_own_is_spent_by_one_process_of_it() {
+    let mut rig = fleet(3, true);
+    let hears = rig.node("n2").logged("fleet").expect("logged");
+    rig.kill("n0");
+    rig.kill("n1");
+    let first = Clients::at(&rig, "n2", 6);
+    rig.wait("no lease is left", MOST, |rig| rig.look("n2").is_some_and(|l| l.budgets[0].leased.0 == 0))
+        .expect("leases end");
+    until("it goes on with its own", || first.served() > 0);
+    let second = rig.successor("n2", hears);
+    until("the second takes clients", || second.logged("listening").is_some());
+    let _more = Clients::at(&rig, "n2", 6);
+    rig.database().held();
+    assert_eq!(watch(&rig, Duration::from_secs(2)).0, 1, "both live");
+    rig.end("n2");
+    let before = rig.database().held().all;
+    assert!(watch(&rig, Duration::from_secs(4)).0 <= 1);
+    until("the second has it", || rig.database().held().all > before);
+    drop(second);
+}
