--- a/crates/rig/tests/links.rs
+++ b/crates/rig/tests/links.rs
@@ -70,3 +70,51 @@
     let error = Script::parse("f", &good.replace("start", "begin")).expect_err("unknown").to_string();
     assert!(error.starts_with("f:1:") && error.contains("begin"), "{error}");
 }
+
+/// Streams over the switch: they stall without a close and go on, one way at a time, and a cut ends what is open only.
+#[test]
+fn streams_stall_go_on_and_are_cut() {
+    use std::io::{Read, Write};
+    use std::net::{TcpListener, TcpStream};
+    let switch = Switch::new(1).expect("sockets");
+    let (_, before) = switch.connect("server").expect("sockets");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    switch.serves("server", listener.local_addr().expect("bound")).expect("on loopback");
+    switch.runs("client", std::process::id());
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut bytes = [0; 16];
+                while let Ok(n @ 1..) = (&stream).read(&mut bytes) {
+                    if (&stream).write_all(&bytes[..n]).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let connect = || {
+        let stream = TcpStream::connect(before).expect("the switch listens");
+        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("an option");
+        stream
+    };
+    let echo = |mut stream: &TcpStream, text: &[u8; 4]| {
+        stream.write_all(text).expect("written");
+        let mut back = [0; 4];
+        stream.read_exact(&mut back).map(|()| back)
+    };
+    let stream = connect();
+    assert_eq!(echo(&stream, b"one.").expect("an echo"), *b"one.");
+    switch.links(|links| links.change("server", "client", |l| l.stalled = true));
+    stream.set_read_timeout(Some(Duration::from_millis(300))).expect("an option");
+    let error = echo(&stream, b"two.").expect_err("nothing comes back, and nothing is closed");
+    assert!(matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut), "{error}");
+    switch.links(|links| links.change("server", "client", |l| l.stalled = false));
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("an option");
+    let mut back = [0; 4];
+    (&stream).read_exact(&mut back).expect("it goes on where it stopped");
+    assert_eq!(back, *b"two.");
+    switch.links(|links| links.cut("client", "server"));
+    assert!(echo(&stream, b"last").is_err(), "cut");
+    assert_eq!(echo(&connect(), b"new.").expect("later ones pass"), *b"new.");
+}
