--- a/src/logic.rs
+++ b/src/logic.rs
@@ -331,7 +331,7 @@
                     self.leaving = Some((now, now + *left));
                     out.push(Action::Health(false));
                 }
-                // No place at all is a small part still, as 0 stands for no limit. Nothing of it is kept back here.
+                // No place is a small part still: 0 stands for no limit. Nothing is kept back here.
                 Event::CallsOut(part) => self.set.calls_out = part.max(0.1) / CALLS_SHARE,
                 Event::Replaced(left) => self.leaving = Some((NEVER, now + *left)),
                 Event::Wake(gauges) => self.gauge(gauges),
