A keeper beside its node's earlier process has no voice until that has ended

Need: seen on reading the change again. Keepers are told apart by name, and during a replacement two processes have one. Each promises by its own memory, so an acceptor could be in two majorities at once, and two granters spend one pool. Change: Budgets::beside_another, which the seats' locks drive, takes the keeper's voice as it takes the floor; both come back a reign, or the longest call, after the other process has ended.

--- a/crates/shared/src/budgets.rs
+++ b/crates/shared/src/budgets.rs
@@ -208,12 +208,15 @@
             books.iter_mut().zip(&self.plans).for_each(|(book, plan)| book.set_pool(plan.pool()));
         }
     }
-    /// Another process of this name lives: the floors are that one's.
+    /// Another process of this name lives: the floors are that one's, and so is the name's voice among the keepers. Two that
+    /// promise under one name, each by its own memory, would make two majorities.
     pub fn beside_another(&mut self) {
+        self.election.mute_until(Duration::MAX);
         self.parts.iter_mut().for_each(|p| p.floor_from(Duration::MAX));
     }
-    /// It has ended; what it began has after the longest time that a call may take.
+    /// It has ended; what it began has after the longest time that a call may take, and what it promised after a reign.
     pub fn alone_from(&mut self, now: Duration) {
+        self.election.mute_until(now + self.terms.over(self.terms.reign));
         let from = now + self.terms.over(self.terms.longest);
         self.parts.iter_mut().for_each(|p| p.floor_from(from));
     }
--- a/crates/shared/src/election.rs
+++ b/crates/shared/src/election.rs
@@ -80,6 +80,10 @@
     fn place(&self) -> Option<u8> {
         self.keepers.iter().position(|k| *k == self.me).map(|at| at as u8)
     }
+    /// It is no keeper before then: it promises nothing, and does not try.
+    pub(crate) fn mute_until(&mut self, until: Duration) {
+        (self.mute, self.next_try) = (until, until);
+    }
     /// One of the keepers, by a draw.
     pub(crate) fn keeper(&self, draw: usize) -> Option<Name> {
         self.keepers.get(draw % self.keepers.len().max(1)).cloned()
