Plays from a file cut and stall streams, and ask a router how many requests still succeed

A play had no streams between its processes either, as nodes don't connect to each other.

Change: `router: true` starts a router on the view, `stall`, `cut` and `served` are steps; silence, stall and cut go through one function of the rig. deploy/plays/streams.json5 is an example, which a test plays.

--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -14,6 +14,7 @@
 use mothwinch_stand_ins::{command, config, lock, until, Database, Executor, Front, List, Node, Scratch};
 use serde_json::{json, Value};
 
+use crate::links::Links;
 use crate::switch::Switch;
 
 /// The name of a rig's fleet.
@@ -356,17 +357,27 @@
             }
         });
     }
-    /// Nothing passes from these to those, in this direction only.
-    pub fn silence(&mut self, from: &[String], to: &[String]) {
-        self.note("silence", json!({"from": from, "to": to}));
+    /// Does something to each link from these to those, in this direction only.
+    fn between(&self, what: &str, from: &[String], to: &[String], change: impl Fn(&mut Links, &str, &str)) {
+        self.note(what, json!({"from": from, "to": to}));
         self.switch.links(|links| {
             for a in from {
-                for b in to.iter().filter(|b| *b != a) {
-                    links.change(a, b, |link| link.silent = true);
-                }
+                to.iter().filter(|b| *b != a).for_each(|b| change(links, a, b));
             }
         });
     }
+    /// Nothing passes from these to those, in this direction only.
+    pub fn silence(&mut self, from: &[String], to: &[String]) {
+        self.between("silence", from, to, |links, a, b| links.change(a, b, |link| link.silent = true));
+    }
+    /// Streams from these to those stall, and nobody is told; datagrams pass.
+    pub fn stall(&mut self, from: &[String], to: &[String]) {
+        self.between("stall", from, to, |links, a, b| links.change(a, b, |link| link.stalled = true));
+    }
+    /// Streams that are open from these to those are cut.
+    pub fn cut(&mut self, from: &[String], to: &[String]) {
+        self.between("cut", from, to, Links::cut);
+    }
     /// Changes all links.
     pub fn weather(&mut self, what: Value, change: impl Fn(&mut crate::Link)) {
         self.note("links", what);
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mothwinch_cells::FileError;
 use serde::Deserialize;
@@ -22,6 +22,9 @@
     pub seed: u64,
     /// Nodes, called `n0`, `n1`, ...
     pub nodes: usize,
+    /// A router on the fleet's view beside them, called `r0`.
+    #[serde(default)]
+    pub router: bool,
     /// Names of the seeds; one that is no node stands for a seed that is down.
     #[serde(default = "first")]
     pub seeds: Vec<String>,
@@ -54,6 +57,10 @@
     Partition(Vec<Vec<String>>),
     /// Nothing passes from the first to the second.
     Silence(Vec<String>, Vec<String>),
+    /// Streams from the first to the second stall without a close; datagrams pass.
+    Stall(Vec<String>, Vec<String>),
+    /// Streams that are open from the first to the second are cut; later ones pass.
+    Cut(Vec<String>, Vec<String>),
     /// What all links do.
     Links {
         /// Part lost.
@@ -75,6 +82,16 @@
     Settled(u64),
     /// Waits until the first holds the second in this state, in so many milliseconds.
     Sees(String, String, String, u64),
+    /// Has the router asked so often, one after the other; the play fails if more answers than so many are no result or
+    /// take more milliseconds.
+    Served {
+        /// How often.
+        asked: usize,
+        /// Answers that may be none, or late.
+        failed: usize,
+        /// The longest that one may take.
+        ms: u64,
+    },
     /// Lets so many milliseconds pass, for faults that are to last.
     Last(u64),
 }
@@ -105,6 +122,8 @@
 
 /// Nodes of a play at the most: each is a process.
 const MOST: usize = 64;
+/// The router's name in a play.
+const ROUTER: &str = "r0";
 
 impl Script {
     /// Reads a play.
@@ -129,7 +148,8 @@
         if !(1..=MOST).contains(&script.nodes) {
             return Err(bad(None, "nodes", format!("is not from 1 to {MOST}")));
         }
-        let known = |n: &String| n == "*" || (0..script.nodes).any(|i| *n == format!("n{i}"));
+        let router = |n: &String| script.router && n == ROUTER;
+        let known = |n: &String| n == "*" || router(n) || (0..script.nodes).any(|i| *n == format!("n{i}"));
         for (at, step) in script.steps.iter().enumerate() {
             let field = format!("steps[{at}]");
             let names: Vec<&String> = match step {
@@ -138,7 +158,7 @@
                 }
                 Step::Quiesce(n) | Step::Resume(n) => n.iter().collect(),
                 Step::Partition(parts) => parts.iter().flatten().collect(),
-                Step::Silence(a, b) => a.iter().chain(b).collect(),
+                Step::Silence(a, b) | Step::Stall(a, b) | Step::Cut(a, b) => a.iter().chain(b).collect(),
                 Step::Sees(a, b, ..) => vec![a, b],
                 Step::Links { loss, double, garble, delay_ms } => {
                     if [loss, double, garble].iter().any(|p| !(0.0..=1.0).contains(*p)) {
@@ -153,7 +173,10 @@
                     }
                     vec![]
                 }
-                Step::Heal | Step::Settled(_) | Step::Last(_) => vec![],
+                Step::Served { .. } if !script.router => {
+                    return Err(bad(None, &field, "asks a router, and the play has none".into()));
+                }
+                Step::Heal | Step::Settled(_) | Step::Served { .. } | Step::Last(_) => vec![],
             };
             if let Some(name) = names.into_iter().find(|n| !known(n)) {
                 return Err(bad(None, &field, format!("{name} is no node of this play")));
@@ -171,6 +194,9 @@
         for i in 0..self.nodes {
             rig.plan(Plan::node(i)).map_err(ScriptError::System)?;
         }
+        if self.router {
+            rig.plan(Plan { name: ROUTER.into(), ..Plan::node(0) }).map_err(ScriptError::System)?;
+        }
         rig.seeds(&self.seeds.iter().map(String::as_str).collect::<Vec<_>>());
         for (at, step) in self.steps.iter().enumerate() {
             self.step(&mut rig, step).map_err(|what| ScriptError::NotReached(at, what))?;
@@ -185,7 +211,13 @@
         match step {
             Step::Start(names) => {
                 let names = these(names);
-                names.iter().for_each(|n| rig.start(n));
+                // The router's file names the nodes, so it comes last.
+                for n in names.iter().filter(|n| *n != ROUTER) {
+                    rig.start(n);
+                }
+                if names.iter().any(|n| n == ROUTER) {
+                    rig.start_router(ROUTER, true);
+                }
                 rig.up(&names.iter().map(String::as_str).collect::<Vec<_>>());
             }
             Step::Kill(names) => these(names).iter().for_each(|n| rig.kill(n)),
@@ -196,6 +228,8 @@
             Step::Resume(names) => these(names).iter().for_each(|n| drop(rig.call(n, "resume"))),
             Step::Partition(parts) => rig.partition(parts),
             Step::Silence(from, to) => rig.silence(&these(from), &these(to)),
+            Step::Stall(from, to) => rig.stall(&these(from), &these(to)),
+            Step::Cut(from, to) => rig.cut(&these(from), &these(to)),
             Step::Links { loss, double, garble, delay_ms } => {
                 let ms = Duration::from_millis;
                 let what = json!({"loss": loss, "double": double, "garble": garble, "delay_ms": delay_ms});
@@ -219,6 +253,21 @@
                 };
                 rig.wait(&what, Duration::from_millis(*ms), sees).ok_or(what.clone())?;
             }
+            Step::Served { asked, failed, ms } => {
+                let mut front = rig.front(ROUTER);
+                let mut bad = Vec::new();
+                for _ in 0..*asked {
+                    let began = Instant::now();
+                    let answer = front.ask("statement-read", "serve:play");
+                    if !answer["result"].is_object() || began.elapsed() > Duration::from_millis(*ms) {
+                        bad.push(answer["error"]["message"].clone());
+                    }
+                }
+                rig.note("served", json!({"asked": asked, "failed": bad.len()}));
+                if bad.len() > *failed {
+                    return Err(format!("{} of {asked} failed, {failed} may: {}", bad.len(), json!(bad)));
+                }
+            }
             Step::Last(ms) => std::thread::sleep(Duration::from_millis(*ms)),
         }
         Ok(())
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -570,3 +570,19 @@
         }
     }
 }
+
+/// The play of the deploy folder on streams: cut ones cost nobody an answer, a node whose streams stall costs a few until the
+/// router passes it over, though the view holds it to be up all the time.
+#[test]
+fn a_play_from_a_file_cuts_and_stalls_streams() {
+    let file = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/plays/streams.json5");
+    let play = mothwinch_rig::script::Script::read(&file).expect("it can be used");
+    let rig = play.play(false).unwrap_or_else(|e| panic!("{e}"));
+    let timeline = rig.timeline();
+    for event in ["\"cut\"", "\"stall\"", "\"served\""] {
+        assert!(timeline.contains(event), "{event} is missing: {timeline}");
+    }
+    let text = std::fs::read_to_string(&file).expect("readable").replace("router: true", "router: false");
+    let refused = mothwinch_rig::script::Script::parse("play", &text).expect_err("nobody to ask");
+    assert!(refused.to_string().contains("steps[2]"), "{refused}");
+}
