Nodes know what all have in flight by tenant, and tell a broken ledger from a broken path

Change: crates/shared gets a sketch that fits a datagram, gathering by two members that the names choose (changes only, by node and life, with an age that needs no clocks that agree), evidence and judgements with damping; carried by the view's datagrams. The module takes counts as an event and applies its threshold to a tenant's part over the fleet while they are fresh; the ledger's actor has one call at a time while it is judged down or out of reach; a node that alone fails says quiesced, so routers pass it over. `fleet state` shows both. Off without `counts` and `judgements` in the fleet's file.

--- a/crates/fleet-cli/src/lib.rs
+++ b/crates/fleet-cli/src/lib.rs
@@ -33,7 +33,7 @@
         #[arg(long)]
         json: bool,
     },
-    /// Show the budgets that a member holds parts of: totals, what is its own, what it holds on lease, what it uses.
+    /// Show what a member shares: its parts of budgets, what it knows of the others' counts, what it makes of the ledger.
     State {
         /// Who is asked.
         #[command(flatten)]
@@ -262,9 +262,12 @@
     text
 }
 
-fn table_of_budgets(me: &Record, look: &Look) -> String {
+fn table_of_state(me: &Record, look: &Look) -> String {
     let mut text = String::new();
-    let _ = writeln!(text, "{} knows as granter: {}", me.name, look.granter.as_deref().unwrap_or("nobody"));
+    if !look.budgets.is_empty() {
+        let granter = look.granter.as_deref().unwrap_or("nobody");
+        let _ = writeln!(text, "{} knows as granter: {granter}", me.name);
+    }
     for b in &look.budgets {
         let own =
             if b.floor.1 { "may be spent" } else { "not yet, calls of an earlier process may be in hand" };
@@ -282,6 +285,32 @@
             let _ = writeln!(text, "    {name:<16} counted {counted:>6}, wants {want:>6}");
         }
     }
+    if let Some(g) = &look.gathered {
+        let _ = match &g.by {
+            Some(by) => writeln!(
+                text,
+                "{} knows what {} of {} nodes count, by {by}, none older than {} ms; no tenant has more than {} in flight at the others",
+                me.name, g.covered.0, g.covered.1, g.age_ms, g.most
+            ),
+            None => writeln!(text, "{} goes by its own counts: nothing fresh is known of the others", me.name),
+        };
+        let names: Vec<&str> = g.gatherers.iter().map(|n| &**n).collect();
+        let _ = writeln!(text, "  reports to: {}", names.join(" "));
+        let (all, here, sites) = (g.others.elsewhere, g.others.here, g.others.sites);
+        let _ = writeln!(
+            text,
+            "ledger: {} for {:.1} s; {} own calls of late, {} failed",
+            g.ledger.0.name(),
+            g.ledger.1 as f64 / 1e3,
+            g.calls.0,
+            g.calls.1
+        );
+        let _ = writeln!(
+            text,
+            "  others find: at this site {} sound, {} slow, {} failing; elsewhere {}, {}, {}; other sites {}, {}, {}",
+            here.sound, here.slow, here.failing, all.sound, all.slow, all.failing, sites.sound, sites.slow, sites.failing
+        );
+    }
     text
 }
 
@@ -313,7 +342,7 @@
             let told =
                 look(at, &config.fleet, Duration::from_millis(whom.wait_ms)).map_err(FleetError::Ask)?;
             let (me, look) = told;
-            Ok(if *as_json { json(&look) } else { table_of_budgets(&me, &look) })
+            Ok(if *as_json { json(&look) } else { table_of_state(&me, &look) })
         }
         Fleet::Watch { whom, every_ms } => {
             let (at, config) = place(whom)?;
--- a/crates/fleet-wire/src/config.rs
+++ b/crates/fleet-wire/src/config.rs
@@ -35,6 +35,10 @@
     pub keepers: Vec<Name>,
     /// The budgets.
     pub budgets: Vec<Plan>,
+    /// Nodes tell each other what they have in flight by tenant.
+    pub counts: bool,
+    /// Nodes tell each other what they find of the ledger.
+    pub judgements: bool,
 }
 
 /// Why a fleet's file can't be used.
@@ -75,6 +79,10 @@
     keepers: Vec<String>,
     #[serde(default)]
     budgets: BTreeMap<String, FileBudget>,
+    #[serde(default)]
+    counts: bool,
+    #[serde(default)]
+    judgements: bool,
 }
 
 #[derive(Deserialize)]
@@ -208,6 +216,8 @@
                     floors: b.floors.into_iter().map(|(n, units)| (n.into(), units)).collect(),
                 })
                 .collect(),
+            counts: file.counts,
+            judgements: file.judgements,
         })
     }
 }
--- a/crates/fleet-wire/src/lib.rs
+++ b/crates/fleet-wire/src/lib.rs
@@ -6,9 +6,11 @@
 mod allowance;
 mod ask;
 mod config;
+mod shares;
 mod shell;
 
 pub use allowance::Allowance;
 pub use ask::{ask, look, AskError, Told};
 pub use config::{Config, ConfigError, LEDGER};
+pub use shares::{Known, Shares};
 pub use shell::{start, Handle, Me, Seen};
--- a/crates/fleet-wire/src/shell.rs
+++ b/crates/fleet-wire/src/shell.rs
@@ -14,13 +14,17 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 use mothwinch_fleet::packet::LONGEST;
 use mothwinch_fleet::{word, Body, Conclusion, Malformed, Name, Out, Packet, Record, Said, Standing, View};
-use mothwinch_shared::{Budgets, Message, Out as Shared, Plan, Spend, Terms};
+use mothwinch_shared::{
+    judge, Budgets, Gathering, Judge, Judgement, Look, Message, Out as Shared, Pace, Plan, Said as Gathers,
+    Spend, Terms, LEDGER,
+};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{debug, info, warn, Logger};
 
 use crate::allowance::{Allowance, Usage};
 use crate::config::Config;
+use crate::shares::{Known, Shares};
 
 const SOCKET: Token = Token(0);
 const WAKER: Token = Token(1);
@@ -76,6 +80,8 @@
     pub name: Name,
     /// Where its clients connect; none for one that serves nothing.
     pub serves: Option<SocketAddr>,
+    /// What it counts and finds, where the file has that shared.
+    pub shares: Option<Shares>,
 }
 
 enum Word {
@@ -153,6 +159,12 @@
     changed: Box<dyn Fn() + Send>,
     budgets: Option<Budgets>,
     allowances: Vec<(Name, Allowance)>,
+    /// Counts and judgements, where they are shared.
+    gathering: Option<(Gathering, Shares)>,
+    judge: Judge,
+    /// How the process stands, and whether it is said to be emptied as it alone can't reach the ledger.
+    said: Said,
+    steps_back: bool,
     /// The granter when it was last looked at, for the log.
     granter: Option<Name>,
     /// Something is to be published, at this time.
@@ -199,6 +211,10 @@
     // A draw from the machine, as std's hash tables take it.
     let seed = RandomState::new().hash_one(&me.name);
     let life = word::life(unix.as_millis() as u64, seed);
+    let gathering = me.shares.map(|shares| {
+        let (name, site) = (me.name.clone(), config.site.clone());
+        (Gathering::new(Pace::default(), name, site, life, Duration::ZERO), shares)
+    });
     let record = Record {
         name: me.name,
         site: config.site.clone(),
@@ -241,6 +257,10 @@
         began,
         budgets,
         allowances,
+        gathering,
+        judge: Judge::default(),
+        said: Said::Joining,
+        steps_back: false,
         granter: None,
         rng: ChaCha8Rng::seed_from_u64(seed),
         words,
@@ -286,6 +306,7 @@
                 self.carry_out(out);
             }
             self.tick_budgets();
+            self.tick_gathering();
             self.try_rebind();
             self.publish_if_due();
         }
@@ -301,7 +322,9 @@
         let until = |at: Option<Instant>| at.map_or(next, |at| at.saturating_duration_since(now));
         let budgets =
             self.budgets.as_ref().filter(|_| self.socket.is_some()).map_or(Duration::MAX, Budgets::next);
-        let budgets = budgets.saturating_sub(self.began.elapsed());
+        let gathering = self.gathering.as_ref().filter(|_| self.socket.is_some());
+        let shared = budgets.min(gathering.map_or(Duration::MAX, |(g, _)| g.next()));
+        let budgets = shared.saturating_sub(self.began.elapsed());
         next.min(until(self.publish)).min(until(self.rebind)).min(budgets)
     }
 
@@ -322,6 +345,62 @@
         self.publish_budgets(&budgets);
         self.budgets = Some(budgets);
     }
+    /// Counts and evidence: what is due, and what is known from now on.
+    fn tick_gathering(&mut self) {
+        let now = self.began.elapsed();
+        let due = |(g, _): &mut (Gathering, Shares)| self.socket.is_some() && g.next() <= now;
+        let Some((mut gathering, shares)) = self.gathering.take_if(due) else { return };
+        let own = shares.found().0.filter(|_| self.config.judgements);
+        let found: Vec<_> = own.map(|c| (LEDGER, c)).into_iter().collect();
+        let (counts, draw) = (shares.live().now(), self.rng.random::<f64>());
+        let mut out = Vec::new();
+        gathering.tick(now, &counts, &found, draw, &mut out);
+        self.gathering = Some((gathering, shares));
+        self.carry_gathered(out);
+        self.publish_gathered();
+    }
+    fn carry_gathered(&mut self, out: Vec<(Name, Gathers)>) {
+        self.carry_shared(
+            out.into_iter().map(|(to, said)| Shared::Tell(to, Message::Gather(said))).collect(),
+        );
+    }
+    fn publish_gathered(&mut self) {
+        let now = self.began.elapsed();
+        let Some((gathering, shares)) = &self.gathering else { return };
+        let gathered = gathering.gathered().clone();
+        let before = self.judge.said().0;
+        let tally = gathered.tally(LEDGER, now);
+        if self.config.judgements {
+            let sites = self.view.sites().len();
+            self.judge.look(now, judge(shares.found().0, &tally, sites), gathered.as_of);
+        }
+        let ledger = self.judge.said().0;
+        let until = self.began + gathered.until;
+        shares.publish(Known { gathered, until, ledger });
+        if ledger != before {
+            let (calls, failed) = shares.found().1;
+            info!(self.log, "ledger"; "judgement" => ledger.name(), "before" => before.name(), "calls" => calls,
+                "failed" => failed, "others" => ?tally);
+            (self.changed)();
+            self.step_back(ledger == Judgement::OnlyHere);
+        }
+    }
+    /// One that alone can't reach the ledger is passed over by routers, as long as more than half of those that serve go on:
+    /// else the fleet is served better by nodes that fail.
+    fn step_back(&mut self, wanted: bool) {
+        let serving = |r: &&Record| r.serves.is_some() && r.word.present();
+        let (all, up) = self.view.members().filter(serving).fold((0, 0), |(all, up), r| {
+            (all + 1, up + usize::from(r.takes_requests() && r.name != self.view.me().name))
+        });
+        self.steps_back = wanted && up * 2 > all;
+        self.say();
+    }
+    /// Tells the others how the process stands.
+    fn say(&mut self) {
+        let said = if self.steps_back && self.said == Said::Up { Said::Quiesced } else { self.said };
+        self.view.say(said, self.began.elapsed());
+        self.soon();
+    }
     fn publish_budgets(&mut self, budgets: &Budgets) {
         let mut changed = false;
         for (at, (name, allowance)) in self.allowances.iter().enumerate() {
@@ -356,28 +435,51 @@
     fn hear_shared(&mut self, from: Option<Name>, bytes: &[u8], source: SocketAddr) {
         let now = self.began.elapsed();
         let Some(message) = Message::decode(bytes) else { return self.drop_one(source, &Malformed::Bounds) };
-        let Some(mut budgets) = self.budgets.take() else { return };
-        let mut out = Vec::new();
         match (message, from) {
             (Message::Look(seq), None) => {
-                let body = Body::Carried(Message::Looked(seq, budgets.look(now)).encode());
+                let body = Body::Carried(Message::Looked(seq, self.look(now)).encode());
                 let from = Some(self.view.me().clone());
                 let answer = Packet { fleet: self.config.fleet.clone(), from, body, news: Vec::new() };
                 self.carry_out(vec![Out::Send(source, answer)]);
             }
-            (message, Some(from)) => budgets.hear(&from, message, now, &mut out),
+            (Message::Gather(said), Some(from)) => {
+                let Some((gathering, _)) = &mut self.gathering else { return };
+                let mut out = Vec::new();
+                gathering.hear(&from, said, now, &mut out);
+                self.carry_gathered(out);
+                self.publish_gathered();
+            }
+            (message, Some(from)) => {
+                let Some(mut budgets) = self.budgets.take() else { return };
+                let mut out = Vec::new();
+                budgets.hear(&from, message, now, &mut out);
+                self.carry_shared(out);
+                self.publish_budgets(&budgets);
+                self.budgets = Some(budgets);
+            }
             (_, None) => {}
         }
-        self.carry_shared(out);
-        self.publish_budgets(&budgets);
-        self.budgets = Some(budgets);
+    }
+    /// What is shared here, for people.
+    fn look(&self, now: Duration) -> Look {
+        let look = self.budgets.as_ref().map(|b| b.look(now)).unwrap_or_default();
+        let gathered = self.gathering.as_ref().map(|(gathering, shares)| {
+            let (ledger, since) = self.judge.said();
+            let (calls, failed) = shares.found().1;
+            let ledger = (ledger, now.saturating_sub(since).as_millis() as u64);
+            gathering.look(now, ledger, (calls as u32, failed as u32))
+        });
+        Look { gathered, ..look }
     }
 
     /// A word of this process; true if it was the last.
     fn told(&mut self, word: Word) -> bool {
         let now = self.began.elapsed();
         match word {
-            Word::Say(said) => self.view.say(said, now),
+            Word::Say(said) => {
+                self.said = said;
+                self.say();
+            }
             Word::Serve(at) => self.view.serve_at(Some(self.config.serves.unwrap_or(at)), now),
             Word::Config(config) => {
                 let fixed = |c: &Config| (c.fleet.clone(), c.site.clone(), c.listen, c.advertise, c.serves);
@@ -534,6 +636,10 @@
         if self.publish.is_some_and(|at| at <= now) {
             self.publish = None;
             self.seen.store(Arc::new(Seen::of(&self.view)));
+            if let Some((gathering, _)) = &mut self.gathering {
+                let reports = |r: &&Record| r.serves.is_some() && r.word.present();
+                gathering.members(self.view.members().filter(reports).map(|r| (&r.name, &r.site)));
+            }
             (self.changed)();
         }
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 mod baselines;
 pub mod budgets;
 mod fleet;
+pub mod gathering;
 pub mod plays;
 mod views;
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 
 use clap::{Parser, Subcommand};
 use mothwinch_lab::budgets::{Play, Report, Way, World};
+use mothwinch_lab::gathering::{Broken, Play as Gathered, Report as GatherReport, World as GatherWorld};
 use mothwinch_lab::plays::{play, sized, wrongly, Case, CASES};
 use mothwinch_lab::{FocaPeer, Heartbeats, Peer, PlainSwim, ViewPeer};
 
@@ -48,6 +49,18 @@
         #[arg(long, default_value_t = 6)]
         nodes: usize,
     },
+    /// Counts and judgements, gathered: estimates against what was true, verdicts on a ledger that some can't reach, traffic.
+    Gather {
+        /// Plays of each, with the seeds 1, 2, 3, ...
+        #[arg(long, default_value_t = 200)]
+        plays: u64,
+        /// Nodes of the plays.
+        #[arg(long, default_value_t = 12)]
+        nodes: usize,
+        /// Sizes at which traffic is measured, one play each.
+        #[arg(long, value_delimiter = ',', default_value = "16,256,4096")]
+        sizes: Vec<usize>,
+    },
     /// Members wrongly given up under loss, or with one slow node.
     Wrongly {
         /// Nodes.
@@ -93,6 +106,78 @@
     done.into_iter().map(|(_, out)| out).collect()
 }
 
+fn gather(nodes: usize, plays: u64, sizes: &[usize]) {
+    let middle = |mut of: Vec<u64>| {
+        of.sort_unstable();
+        let at = |part: f64| {
+            of.get(((of.len() as f64 * part) as usize).min(of.len().max(1) - 1)).copied().unwrap_or(0)
+        };
+        (at(0.5), at(0.99))
+    };
+    println!(
+        "| play | looks | too low | none fresh | too high, part | age ms, median / 99th | wrong of judged |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for (faults, broken) in [
+        (false, Broken::Nothing),
+        (true, Broken::Nothing),
+        (true, Broken::Path),
+        (true, Broken::Site),
+        (true, Broken::Ledger),
+        (false, Broken::Path),
+        (false, Broken::Site),
+        (false, Broken::Ledger),
+    ] {
+        let play =
+            Gathered { nodes, long: Duration::from_secs(60), loss: 0.2, faults, ageless: false, broken };
+        let play = if faults { play } else { Gathered { loss: 0.0, ..play } };
+        let all = side_by_side(plays, |seed| GatherWorld::new(play.clone(), seed).run());
+        let sum = |f: fn(&GatherReport) -> u64| all.iter().map(f).sum::<u64>();
+        let ages = middle(all.iter().flat_map(|r| r.ages.iter().copied()).collect());
+        let (over, counted) = (sum(|r| r.too_high.0), sum(|r| r.too_high.1));
+        println!(
+            "| {broken:?}, faults {faults} | {} | {} | {} | {:.3} | {} / {} | {} of {} |",
+            sum(|r| r.looks),
+            sum(|r| r.too_low),
+            sum(|r| r.stale),
+            over as f64 / counted.max(1) as f64,
+            ages.0,
+            ages.1,
+            sum(|r| r.wrong),
+            sum(|r| r.judged)
+        );
+        let back = |f: fn(&GatherReport) -> Option<Duration>| {
+            let mut times: Vec<Duration> = all.iter().filter_map(f).collect();
+            times.sort();
+            (secs(times.get(times.len() / 2).copied()), secs(times.last().copied()), times.len())
+        };
+        if broken != Broken::Nothing && !faults {
+            let first = back(|r| r.held_back.map(|h| h.0));
+            let last = back(|r| r.held_back.map(|h| h.1));
+            let on = back(|r| r.went_on);
+            println!("| held back first {first:?}, all {last:?}, went on {on:?} (median s, worst s, plays) | | | | | | |");
+        }
+    }
+    println!("\n| nodes | age ms, median / 99th | bytes/s, mean | bytes/s, a gatherer | memory of a gatherer, kB |");
+    println!("| --- | --- | --- | --- | --- |");
+    for &nodes in sizes {
+        let long = Duration::from_secs(30);
+        let play =
+            Gathered { nodes, long, loss: 0.0, faults: false, ageless: false, broken: Broken::Nothing };
+        let report = GatherWorld::new(play, 1).run();
+        let ages = middle(report.ages);
+        let second = |bytes: u64| bytes / long.as_secs();
+        println!(
+            "| {nodes} | {} / {} | {} | {} | {} |",
+            ages.0,
+            ages.1,
+            second(report.bytes.1) / nodes as u64,
+            second(report.bytes.0),
+            report.memory / 1024
+        );
+    }
+}
+
 fn hard<P: Peer>(case: Case, nodes: usize, plays: u64) {
     let all = side_by_side(plays, |seed| play::<P>(case, nodes, seed));
     let mut times: Vec<Duration> = all.iter().filter_map(|o| o.settled).collect();
@@ -220,6 +305,7 @@
             }
             println!("a member takes about {} bytes and its name", mothwinch_fleet::View::bytes_a_member());
         }
+        Command::Gather { plays, nodes, sizes } => gather(nodes, plays, &sizes),
         Command::Budgets { plays, nodes } => budgets(plays, nodes),
         Command::Wrongly { nodes, loss, slow_ms, seconds, plays, foca } => {
             let (slow, long) = (Duration::from_millis(slow_ms), Duration::from_secs(seconds));
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -19,6 +19,8 @@
 
 /// The name of a rig's fleet.
 pub const FLEET: &str = "rig";
+/// The ledger's name on links.
+const LEDGER: &str = "ledger";
 /// How long one question to a process may take.
 const ASK: Duration = Duration::from_millis(400);
 
@@ -81,6 +83,8 @@
     slots: BTreeMap<String, Slot>,
     seeds: Vec<SocketAddr>,
     database: Database,
+    /// Where nodes connect to the ledger, if that goes through the switch.
+    ledger: Option<SocketAddr>,
     list: List,
     began: Instant,
     timeline: Arc<Mutex<Vec<Value>>>,
@@ -95,6 +99,7 @@
             slots: BTreeMap::new(),
             seeds: Vec::new(),
             database: Database::start(),
+            ledger: None,
             list: List::start(),
             began: Instant::now(),
             timeline: Arc::default(),
@@ -128,6 +133,13 @@
     pub fn database(&self) -> &Database {
         &self.database
     }
+    /// Nodes that start from now on reach the ledger over links of their own, to `ledger`.
+    pub fn ledger_by_links(&mut self) -> io::Result<()> {
+        let (_, streams) = self.switch.connect(LEDGER)?;
+        self.switch.serves(LEDGER, self.database.address)?;
+        self.ledger = Some(streams);
+        Ok(())
+    }
     /// A node's executor.
     pub fn executor(&self, name: &str) -> &Executor {
         &self.slot(name).executor
@@ -197,7 +209,8 @@
     }
     fn launch(&self, name: &str, listen: SocketAddr) -> Node {
         let slot = self.slot(name);
-        let mut settings = config(slot.executor.address, self.database.address, self.list.address);
+        let ledger = self.ledger.unwrap_or(self.database.address);
+        let mut settings = config(slot.executor.address, ledger, self.list.address);
         settings["name"] = json!(name);
         settings["admin"] = json!("127.0.0.1:0");
         std::fs::write(&slot.file.0, settings.to_string()).expect("a file");
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -168,7 +168,7 @@
     }
     /// Becomes a member of the fleet, one that serves nothing.
     fn join(&mut self, config: fleet::Config) -> io::Result<()> {
-        let me = fleet::Me { name: config.name.clone().unwrap_or_default(), serves: None };
+        let me = fleet::Me { name: config.name.clone().unwrap_or_default(), serves: None, shares: None };
         let waker = self.handle.waker.clone();
         let changed = Box::new(move || drop(waker.wake()));
         let log = self.log.new(o!("actor" => "fleet"));
--- a/crates/shared/src/budgets.rs
+++ b/crates/shared/src/budgets.rs
@@ -8,6 +8,7 @@
 
 use crate::book::Book;
 use crate::election::{Election, Term, Vote};
+use crate::gather::{GatheredLook, Said};
 use crate::part::{Ask, Grant, Part};
 use crate::Terms;
 
@@ -69,6 +70,8 @@
     Look(u32),
     /// What this node holds, and where it grants, what others hold.
     Looked(u32, Look),
+    /// Counts and evidence, which budgets have nothing to do with.
+    Gather(Said),
 }
 
 impl Message {
@@ -87,12 +90,14 @@
 }
 
 /// What a node tells of its budgets, for people.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Look {
     /// The granter that it knows.
     pub granter: Option<Name>,
     /// Its budgets.
     pub budgets: Vec<BudgetLook>,
+    /// Counts and judgements, where they are shared.
+    pub gathered: Option<GatheredLook>,
 }
 
 /// One budget as a node sees it.
@@ -252,7 +257,7 @@
             }
         };
         let budgets = self.plans.iter().zip(&self.parts).enumerate().map(budget).collect();
-        Look { granter: self.election.granter(now).map(|(name, _)| name), budgets }
+        Look { granter: self.election.granter(now).map(|(name, _)| name), budgets, gathered: None }
     }
     /// When [`Budgets::tick`] is due.
     pub fn next(&self) -> Duration {
@@ -317,7 +322,7 @@
                 self.look_at_reign(now, &[], out);
             }
             // Questions of tools are answered by who knows where they came from.
-            Message::Look(_) | Message::Looked(..) => {}
+            Message::Look(_) | Message::Looked(..) | Message::Gather(_) => {}
             Message::Reigns(granter, term) => {
                 if granter != self.me && self.election.hear_granter(&granter, term, now) {
                     self.next_ask = now;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -346,6 +346,9 @@
     Replaced(Span),
     /// This server's part of the calls at once from now on, where servers share them by parts that change.
     CallsOut(f64),
+    /// How many servers' counts are known, this one's among them, and by tenant what the others have in flight, where servers
+    /// tell each other; 0 and nothing where that is not known any more.
+    Others(f64, Vec<f64>),
     /// A wake-up asked for.
     Wake(Gauges),
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -254,6 +254,11 @@
     learned: Vec<Learned>,
     /// Arrivals a second of each told tenant, fading; the last serves for all untold.
     rates: Vec<f64>,
+    /// Servers whose counts are known, and what the others have in flight of each told tenant.
+    counted: f64,
+    others: Vec<f64>,
+    /// Refused for what their tenants have in flight elsewhere, so far.
+    pub heavy: u64,
     turned: Time,
     limit: f64,
     /// When it was told that the node leaves, and when the process ends.
@@ -304,6 +309,9 @@
             call_best: f64::MAX,
             learned: set.classes.iter().map(learn).collect(),
             rates: vec![0.0; set.tenants.len() + 1],
+            counted: 0.0,
+            others: Vec::new(),
+            heavy: 0,
             turned: Time(i64::MIN / 2),
             limit: f64::from(set.cores),
             leaving: None,
@@ -333,6 +341,7 @@
                 }
                 // No place is a small part still: 0 stands for no limit. Nothing is kept back here.
                 Event::CallsOut(part) => self.set.calls_out = part.max(0.1) / CALLS_SHARE,
+                Event::Others(servers, counts) => (self.counted, self.others) = (*servers, counts.clone()),
                 Event::Replaced(left) => self.leaving = Some((NEVER, now + *left)),
                 Event::Wake(gauges) => self.gauge(gauges),
             }
@@ -451,7 +460,10 @@
         }
         let too_late = self.leaving.is_some_and(|(notice, _)| arrived > notice + self.set.drain_grace);
         let threshold = self.set.crowd_per_core * self.cores();
-        if too_late || (self.seen.late && f64::from(estimate) > threshold) {
+        let (all, most) = self.over_all(slot, f64::from(estimate), threshold);
+        let heavy = self.seen.late && all > most;
+        self.heavy += u64::from(heavy);
+        if too_late || heavy || (self.seen.late && f64::from(estimate) > threshold) {
             return self.refuse(r.id, out);
         }
         // The entry that ties later tries to this one has to stand before the run, for the whole window.
@@ -468,6 +480,15 @@
         }
     }
 
+    /// What a tenant has in flight on all servers, and its part of what all of them together hold of one before
+    /// they call it heavy: by its allowance, no less than on one server. Harms tenants of long requests.
+    fn over_all(&self, slot: usize, here: f64, threshold: f64) -> (f64, f64) {
+        let Some(others) = self.others.get(slot) else { return (0.0, threshold) };
+        let total = self.set.tenants.iter().map(|t| t.allowance_per_s).sum::<f64>().max(1e-9);
+        let part = self.set.tenants.get(slot).map_or(1.0, |t| t.allowance_per_s / total);
+        (here + others, threshold * (self.counted * part).max(1.0))
+    }
+
     fn remember(&mut self, id: RequestId, lapse: Time, out: &mut Vec<Action>) {
         if lapse > self.now {
             self.seen.keys.insert(id, lapse);
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,7 +17,7 @@
 use mothwinch::net::{database, door, executor, membership, spawn, take_address, Address};
 use mothwinch::node::config::{Config, ConfigError};
 use mothwinch::node::confinement::CellsError;
-use mothwinch::node::{Board, Confinement, Limits, Module, Msg, Peers};
+use mothwinch::node::{Board, Confinement, Fleet as Counting, Limits, Module, Msg, Peers};
 use mothwinch::seat::Standing;
 use mothwinch_cells_cli::Cells;
 use mothwinch_fleet_cli::Fleet;
@@ -190,11 +190,22 @@
     let site = Arc::new(config.site);
     let database_log = log.new(o!("actor" => "database"));
     let database = Arc::new(Address::new(config.database));
-    let guard = in_fleet.as_ref().filter(|f| !f.budgets.is_empty()).map(|_| database::Guard::default());
+    let budgeted = in_fleet.as_ref().is_some_and(|f| !f.budgets.is_empty());
+    let shares = in_fleet.as_ref().filter(|f| f.counts || f.judgements).map(|_| fleet::Shares::default());
+    let judged = in_fleet.as_ref().filter(|f| f.judgements).and(shares.clone());
+    let guard =
+        (budgeted || judged.is_some()).then(|| database::Guard::new(database::Budget::new(budgeted, judged)));
     let calls = database::start(&database, guard.clone(), &limits, &module, &database_log)
         .map_err(system("threads"))?;
     let waiting = guard.clone().map(|budget| Box::new(move |requests| budget.waits(requests)) as Box<_>);
-    let peers = Peers { executor: to_executor, database: Box::new(move |call| calls.make(call)), waiting };
+    let counts = in_fleet.as_ref().filter(|f| f.counts).and(shares.clone());
+    let counts = counts.map(|s| Counting { live: s.live(), others: Box::new(move |keys| s.others(keys)) });
+    let peers = Peers {
+        executor: to_executor,
+        database: Box::new(move |call| calls.make(call)),
+        waiting,
+        fleet: counts,
+    };
     let told = (site.clone(), config.seed, config.stop);
     let actor = Module::new(
         told,
@@ -254,7 +265,8 @@
     let mut standing =
         config.door.map_or(Standing::Alone, |_| Standing::new(&std::env::temp_dir(), &config.name));
     standing.look(board.state(), &log);
-    let mut member = Member::new(in_fleet, cli.fleet.as_deref(), &config.name, &limits, guard, &log);
+    let mut member =
+        Member::new(in_fleet, cli.fleet.as_deref(), &config.name, &limits, (guard, shares), &log);
     // One that is to replace another stays out of the fleet until it takes clients: the name is the other's so long.
     let another = |standing: &Standing| !standing.may_take() || standing.beside() != Beside::Nobody;
     member.beside(another(&standing));
--- a/src/member.rs
+++ b/src/member.rs
@@ -19,6 +19,7 @@
     name: String,
     stack: usize,
     guard: Option<Guard>,
+    shares: Option<fleet::Shares>,
     handle: Option<fleet::Handle>,
     beside: bool,
     log: Logger,
@@ -31,7 +32,7 @@
         file: Option<&Path>,
         name: &str,
         limits: &Limits,
-        guard: Option<Guard>,
+        (guard, shares): (Option<Guard>, Option<fleet::Shares>),
         log: &Logger,
     ) -> Member {
         let log = log.new(o!("actor" => "fleet"));
@@ -41,6 +42,7 @@
             name: name.into(),
             stack: limits.stack,
             guard,
+            shares,
             handle: None,
             beside: false,
             log,
@@ -63,7 +65,7 @@
     /// Becomes a member if it is none yet, and says how the process stands.
     pub fn join(&mut self, state: State, serves: Option<SocketAddr>) -> io::Result<()> {
         if let (None, Some(config)) = (&self.handle, self.config.take()) {
-            let me = fleet::Me { name: self.name.as_str().into(), serves: None };
+            let me = fleet::Me { name: self.name.as_str().into(), serves: None, shares: self.shares.clone() };
             let budget = self.guard.clone();
             let changed = Box::new(move || budget.iter().for_each(|b| b.look()));
             let handle = fleet::start(config, me, self.stack, changed, &self.log)?;
--- a/src/net/database.rs
+++ b/src/net/database.rs
@@ -17,7 +17,7 @@
 use crossbeam_channel::{bounded, Receiver, Sender, TryRecvError};
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token, Waker};
-use mothwinch_fleet_wire::Allowance;
+use mothwinch_fleet_wire::{Allowance, Shares};
 use slog::{debug, warn, Logger};
 
 use super::{spawn, Address};
@@ -44,9 +44,13 @@
     }
 }
 
-/// The fleet's budget of calls at once, where a file has it. Until this node is a member it may make none.
+/// What the fleet has to say of calls, where a file has it say something.
 #[derive(Default)]
 pub struct Budget {
+    /// There is a budget of calls at once. Until this node is a member it may make none.
+    budgeted: bool,
+    /// What is made of the ledger together.
+    shares: Option<Shares>,
     allowance: OnceLock<Allowance>,
     /// Requests that wait for leave to call, as the module last told.
     waiting: AtomicUsize,
@@ -56,6 +60,19 @@
 pub type Guard = Arc<Budget>;
 
 impl Budget {
+    /// Whether there is a budget, and what is told of calls.
+    pub fn new(budgeted: bool, shares: Option<Shares>) -> Budget {
+        Budget { budgeted, shares, ..Budget::default() }
+    }
+    /// Calls in hand that the fleet's budget allows; no bound where there is none.
+    fn places(&self) -> Option<usize> {
+        self.budgeted.then(|| self.allowance.get().map_or(0, Allowance::limit) as usize)
+    }
+    /// Whether the ledger is judged to be down, or out of this node's reach: then one call at a time shows when it serves
+    /// again.
+    fn holds_back(&self) -> bool {
+        self.shares.as_ref().is_some_and(|s| s.ledger().holds_back())
+    }
     /// The node is a member from now on. It becomes one once.
     pub fn joined(&self, allowance: Allowance) {
         let _ = self.allowance.set(allowance);
@@ -236,25 +253,27 @@
                     Err(TryRecvError::Disconnected) => break,
                 }
             }
-            let mut places = self.limits.database_lanes;
+            let budgeted = self.guard.as_ref().and_then(|b| b.places());
+            let mut places = budgeted.unwrap_or(self.limits.database_lanes);
             if let Some(budget) = &self.guard {
-                let allowance = budget.allowance.get();
-                places = allowance.map_or(0, Allowance::limit) as usize;
-                if let Some(allowance) = allowance {
+                if let Some(allowance) = budget.allowance.get() {
                     // One more than can be used now: what comes next is not to wait for an answer of the granter's.
                     let wanted = in_hand + self.waiting.len() + budget.waiting.load(SeqCst) + 1;
                     allowance.uses(in_hand as u64, wanted as u64);
                 }
             }
-            if self.guard.is_some() && self.told_places != places {
+            if budgeted.is_some() && self.told_places != places {
                 self.told_places = places;
                 self.module.send(Msg::CallsOut(places)).map_err(|_| Gone)?;
             }
+            let judged = self.guard.as_ref().is_some_and(|b| b.holds_back());
+            places = if judged { places.min(1) } else { places };
             let Some((since, call)) = self.waiting.pop_front() else { return Ok(()) };
             if self.guard.is_some() && now.saturating_duration_since(since) >= call.limit {
                 // Its time went by in the queue.
                 self.kept_out.log(|more| {
-                    warn!(self.log, "call not made: the fleet's budget gave no place in its time";
+                    let why = if judged { "judgement of the ledger" } else { "budget" };
+                    warn!(self.log, "call not made: the fleet's {} gave no place in its time", why;
                         "places" => places, "in_hand" => in_hand, "more" => more);
                 });
                 self.module
@@ -338,6 +357,10 @@
     }
 
     fn end(&self, call: &Call, begun: Instant, how: Result<HttpReply, ReplyError>) -> Result<(), Gone> {
+        if let Some(shares) = self.guard.as_ref().and_then(|b| b.shares.as_ref()) {
+            let served = how.as_ref().is_ok_and(|reply| reply.status < 500);
+            shares.tried(served.then(|| begun.elapsed()));
+        }
         let result = match how {
             Ok(reply) => reply.result(),
             Err(e) => {
--- a/src/node/book.rs
+++ b/src/node/book.rs
@@ -49,6 +49,8 @@
     pub unsure: bool,
     /// Its key in the table of those that must not run again.
     pub key: Option<u128>,
+    /// The key under which the fleet counts it, where it does.
+    pub counted: Option<u64>,
 }
 
 impl Entry {
@@ -155,6 +157,7 @@
             repeats,
             unsure: false,
             key,
+            counted: None,
         }
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,11 +9,12 @@
 mod request;
 
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering::Relaxed};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam_channel::{bounded, Receiver, Sender};
 use mothwinch_service::{Refused, State, Step};
+use mothwinch_shared::Live;
 
 use crate::interface::{RequestId, Time};
 pub use confinement::Confinement;
@@ -193,6 +194,15 @@
     }
 }
 
+/// Counts of requests in flight by tenant, where the fleet shares them.
+pub struct Fleet {
+    /// This node's own.
+    pub live: Arc<Live>,
+    /// How many nodes are counted, and what the others have in flight of each key, while that is known.
+    #[allow(clippy::type_complexity)] // It is one closure, told in full.
+    pub others: Box<dyn Fn(&[u64]) -> Option<(u32, Vec<u32>)> + Send>,
+}
+
 /// The module's two peers, as mailboxes.
 pub struct Peers {
     /// The executor's actor.
@@ -201,4 +211,6 @@
     pub database: Box<dyn Fn(Call) -> bool + Send>,
     /// Hears how many requests wait for leave to call, where the fleet shares its calls.
     pub waiting: Option<Box<dyn Fn(usize) + Send>>,
+    /// Counts that the fleet shares.
+    pub fleet: Option<Fleet>,
 }
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -50,7 +50,12 @@
     linked: bool,
     /// Told to leave.
     leaving: bool,
+    /// Keys of the settings' tenants, under which the fleet counts them.
+    tenant_keys: Vec<u64>,
+    /// The module goes by counts of others.
+    told_others: bool,
     twice: Seldom,
+    heavy: Seldom,
     not_carried_out: Seldom,
     state: Seldom,
     peaks: Peaks,
@@ -77,9 +82,12 @@
     ) -> Module {
         let book = Book::new(limits.once_keys);
         let seldom = || Seldom::new(limits.log_seldom);
-        let (twice, not_carried_out) = (seldom(), seldom());
+        let (twice, heavy, not_carried_out) = (seldom(), seldom(), seldom());
         let state = Seldom::new(limits.log_state);
+        let tenant_keys = site.tenant_keys();
         Module {
+            tenant_keys,
+            told_others: false,
             site,
             seed,
             stop,
@@ -99,6 +107,7 @@
             linked: false,
             leaving: false,
             twice,
+            heavy,
             not_carried_out,
             state,
             peaks: Peaks::default(),
@@ -126,9 +135,23 @@
         }
     }
 
+    /// Tells the module what the others have in flight, as long as that is known.
+    fn tell_others(&mut self) {
+        let Some(fleet) = &self.peers.fleet else { return };
+        let told = (fleet.others)(&self.tenant_keys);
+        if told.is_none() && !self.told_others {
+            return;
+        }
+        self.told_others = told.is_some();
+        let (nodes, others) = told.unwrap_or_default();
+        let others = others.into_iter().map(f64::from).collect();
+        self.pending.push(Pending::Other(Event::Others(f64::from(nodes), others)));
+    }
+
     /// Looks after runs that nobody waits for: their end may never be told, if a command was lost with a link. Each
     /// is stopped again, and is over when that has brought nothing for long enough.
     fn sweep(&mut self) {
+        self.tell_others();
         if let Some(waiting) = &self.peers.waiting {
             waiting(self.book.all().filter(|e| matches!(e.stage, Stage::AtCall(_))).count());
         }
@@ -216,7 +239,14 @@
         };
         let events: Vec<Event> = self.pending.drain(..).map(told).collect();
         let mut actions = std::mem::take(&mut self.actions);
+        let heavy = policy.heavy;
         policy.handle(now, &events, &mut actions);
+        let heavy = (policy.heavy - heavy, policy.heavy);
+        if heavy.0 > 0 {
+            self.heavy.log(|_| {
+                info!(self.log, "refused: tenants are heavy over the fleet"; "so_far" => heavy.1);
+            });
+        }
         for action in actions.drain(..) {
             self.act(action);
         }
@@ -308,8 +338,24 @@
             return reply.give(Answer { outcome: Outcome::Failed(Failure::Internal), hint });
         }
         let (stage, reply) = (Stage::Held, Some(reply));
-        let entry =
-            Entry { rid, class, body, held_kb, reply, stage, answered: None, repeats, unsure: false, key };
+        let counted = self.peers.fleet.as_ref().zip(tenant).map(|(fleet, tenant)| {
+            let key = self.tenant_keys.get(tenant.0 as usize).copied().unwrap_or(tenant.0);
+            fleet.live.enters(key);
+            key
+        });
+        let entry = Entry {
+            rid,
+            class,
+            body,
+            held_kb,
+            reply,
+            stage,
+            answered: None,
+            repeats,
+            unsure: false,
+            key,
+            counted,
+        };
         let id = self.book.enter(entry);
         self.board.owed.fetch_add(1, Relaxed);
         let request = Request {
@@ -430,6 +476,9 @@
                 info!(self.log, "failed"; "rid" => %entry.rid, "class" => entry.class.0, "why" => why.word(), "at" => stage);
             }
             entry.answered = Some(Instant::now());
+            if let Some((fleet, key)) = self.peers.fleet.as_ref().zip(entry.counted) {
+                fleet.live.leaves(key);
+            }
             self.board.owed.fetch_sub(1, Relaxed);
             reply.give(Answer { outcome, hint });
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -228,6 +228,16 @@
         TenantId(self.tenants.get(name).copied().unwrap_or_else(|| stranger(name)))
     }
 
+    /// Keys of the named tenants by their numbers, the same wherever the settings name them.
+    pub fn tenant_keys(&self) -> Vec<u64> {
+        let mut keys = vec![0; self.tenants.len()];
+        for (name, number) in &self.tenants {
+            if let Some(key) = keys.get_mut(*number as usize) {
+                *key = stranger(name);
+            }
+        }
+        keys
+    }
     /// Whether the settings name this tenant.
     pub fn knows_tenant(&self, name: &str) -> bool {
         self.tenants.contains_key(name)
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -525,7 +525,7 @@
         );
         wire::Config::parse("f", &text).expect("it can be used")
     };
-    let me = |name: usize| wire::Me { name: format!("v{name}").into(), serves: None };
+    let me = |name: usize| wire::Me { name: format!("v{name}").into(), serves: None, shares: None };
     let start = |name, seed| {
         let view =
             wire::start(config(name, seed), me(name), 160 * 1024, Box::new(|| {}), &log).expect("a socket");
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -60,6 +60,30 @@
     assert_eq!(out, [13]);
 }
 
+/// Guards the fleet's threshold: a tenant that is thin here and heavy over all is refused while the hold is late, up to its
+/// part by allowance of what all servers hold; not once counts of the others are no longer known, and no other tenant.
+#[test]
+fn a_tenant_heavy_over_the_fleet_is_refused_where_its_counts_are_known() {
+    let mut set = settings();
+    set.memory_kb = 1e6;
+    set.classes[0].aim = Span::from_ms(60_000.0);
+    set.classes[0].deadline = Span::from_ms(90_000.0);
+    set.tenants[1].allowance_per_s = 24.0;
+    let read = |id, tenant, age| {
+        let age = Span::from_ms(age);
+        Event::Read(Request { tenant: Some(TenantId(tenant)), age, ..request(id, 0) })
+    };
+    let mut s = Server::new(set);
+    // Ten in flight are heavy on one server. A quarter of the allowances are tenant 0's: on eight servers that is 20.
+    let others = Event::Others(8.0, vec![16.0, 40.0]);
+    let first = [others, read(1, 0, 16_000.0), read(2, 0, 16_000.0), read(3, 0, 16_000.0)];
+    assert!(refused(&s.at(1000.0, &first)).is_empty());
+    let out = s.at(1001.0, &[read(4, 0, 0.0), read(5, 0, 0.0), read(6, 1, 0.0)]);
+    assert_eq!((refused(&out), s.policy.heavy), (vec![5], 1), "16 elsewhere and 4 here are its part");
+    let out = s.at(1002.0, &[Event::Others(0.0, vec![]), read(7, 0, 0.0), read(8, 0, 0.0)]);
+    assert!(refused(&out).is_empty(), "by its own counts it is thin: {out:?}");
+}
+
 #[test]
 fn tenants_within_their_share_run_before_one_far_beyond_it() {
     let mut s = Server::new(settings());
