Two processes of a node divide memory, places, ledger calls and connections by locks

Change: eight parts, each the lock of a file in the scratch folder, so that both never have more than the whole by the machine's own word; `parts` in crates/service decides how many a process is to hold, from its state, the other's word and what it has in hand. The module hears its part as an event, the front's slots follow it. A process that leaves says so at its seat.

--- a/crates/connections/src/lib.rs
+++ b/crates/connections/src/lib.rs
@@ -44,6 +44,10 @@
 }
 
 impl Bounds {
+    /// So many connections from now on.
+    pub fn set_connections(&mut self, connections: usize) {
+        (self.connections, self.unused) = (connections, connections / 4 * 3);
+    }
     /// Bounds of a front that may have so many connections.
     pub fn new(connections: usize) -> Bounds {
         Bounds {
--- a/crates/service/src/beside.rs
+++ b/crates/service/src/beside.rs
@@ -11,6 +11,8 @@
     Idle,
     /// One that takes clients.
     Taking,
+    /// One that was told to end.
+    Leaving,
 }
 
 /// Bytes of the word at a seat, always as many: one that is written over another leaves nothing of it.
@@ -18,7 +20,11 @@
 
 /// The word that a process in this state writes.
 pub fn word(state: State) -> [u8; WORD] {
-    *if state.takes_clients() { b"taking clients \n" } else { b"idle           \n" }
+    *match state {
+        State::Leaving { .. } => b"leaving        \n",
+        _ if state.takes_clients() => b"taking clients \n",
+        _ => b"idle           \n",
+    }
 }
 
 impl Beside {
@@ -27,6 +33,7 @@
         match (lives, text) {
             (false, _) => Beside::Nobody,
             (true, b"taking clients \n") => Beside::Taking,
+            (true, b"leaving        \n") => Beside::Leaving,
             (true, _) => Beside::Idle,
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -346,6 +346,15 @@
     Replaced(Span),
     /// This server's part of the calls at once from now on, where servers share them by parts that change.
     CallsOut(f64),
+    /// What of the server is this process's from now on, where two live for a while.
+    Part {
+        /// Memory in kilobytes.
+        memory_kb: f64,
+        /// Requests on the cores, for each core.
+        crowd_per_core: f64,
+        /// Its part of the calls at once, where that is not told otherwise.
+        calls_out: Option<f64>,
+    },
     /// How many servers' counts are known, this one's among them, and by tenant what the others have in flight, where servers
     /// tell each other; 0 and nothing where that is not known any more.
     Others(f64, Vec<f64>),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -341,6 +341,10 @@
                 }
                 // No place is a small part still: 0 stands for no limit. Nothing is kept back here.
                 Event::CallsOut(part) => self.set.calls_out = part.max(0.1) / CALLS_SHARE,
+                Event::Part { memory_kb, crowd_per_core, calls_out } => {
+                    (self.set.memory_kb, self.set.crowd_per_core) = (*memory_kb, *crowd_per_core);
+                    self.set.calls_out = calls_out.unwrap_or(self.set.calls_out);
+                }
                 Event::Others(servers, counts) => (self.counted, self.others) = (*servers, counts.clone()),
                 Event::Replaced(left) => self.leaving = Some((NEVER, now + *left)),
                 Event::Wake(gauges) => self.gauge(gauges),
@@ -480,8 +484,8 @@
         }
     }
 
-    /// What a tenant has in flight on all servers, and its part of what all of them together hold of one before
-    /// they call it heavy: by its allowance, no less than on one server. Harms tenants of long requests.
+    /// What a tenant has in flight on all servers, and its part of what they together hold of one before they
+    /// call it heavy: by its allowance, no less than on one server. Harms tenants of long requests.
     fn over_all(&self, slot: usize, here: f64, threshold: f64) -> (f64, f64) {
         let Some(others) = self.others.get(slot) else { return (0.0, threshold) };
         let total = self.set.tenants.iter().map(|t| t.allowance_per_s).sum::<f64>().max(1e-9);
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,13 +18,13 @@
 use mothwinch::node::config::{Config, ConfigError};
 use mothwinch::node::confinement::CellsError;
 use mothwinch::node::{Board, Confinement, Fleet as Counting, Limits, Module, Msg, Peers};
-use mothwinch::seat::Standing;
+use mothwinch::seat::{Parts, Standing};
 use mothwinch_cells_cli::Cells;
 use mothwinch_fleet_cli::Fleet;
 use mothwinch_fleet_wire as fleet;
 use mothwinch_router::{Config as Router, ConfigError as RouterError, RouterLoop};
 use mothwinch_routing::Rules;
-use mothwinch_service::{Beside, State, Step};
+use mothwinch_service::{Beside, State, Step, PARTS};
 use slog::{info, o, warn, Drain, Logger};
 use socket2::Socket;
 
@@ -265,6 +265,14 @@
     let mut standing =
         config.door.map_or(Standing::Alone, |_| Standing::new(&std::env::temp_dir(), &config.name));
     standing.look(board.state(), &log);
+    let mut divide = Divide {
+        parts: Parts::new(&std::env::temp_dir(), &config.name, &standing),
+        board: board.clone(),
+        module: module.clone(),
+        slots: limits.front.connections,
+        log: log.clone(),
+    };
+    divide.look(&standing, front.connections());
     let mut member =
         Member::new(in_fleet, cli.fleet.as_deref(), &config.name, &limits, (guard, shares), &log);
     // One that is to replace another stays out of the fleet until it takes clients: the name is the other's so long.
@@ -273,7 +281,8 @@
     if standing.beside() != Beside::Taking {
         member.join(board.state(), serves).map_err(system("fleet"))?;
     }
-    let looks = if standing.may_take() && !member.is_beside() { never() } else { tick(limits.seat_look) };
+    let looks = || if config.door.is_some() { tick(limits.seat_look) } else { never() };
+    let look = looks();
     let mut up = false;
     let mut peers = Moves {
         cells,
@@ -284,23 +293,26 @@
     };
     loop {
         select! {
-                recv(signals.leave) -> _ => break,
-                recv(signals.reload) -> _ => {
-                    peers.reload(&config.name, config.listen);
-                    member.reload();
-                }
-                recv(board.up()) -> _ => up = true,
-                recv(looks) -> _ => {
-                    standing.look(board.state(), &log);
-                    let another = |standing: &Standing| !standing.may_take() || standing.beside() != Beside::Nobody;
-        member.beside(another(&standing));
-                }
-                recv(changed) -> _ => {
-                    let _ = to_list.try_send(membership::Report::Changed);
-                    member.say(board.state());
+            recv(signals.leave) -> _ => break,
+            recv(signals.reload) -> _ => {
+                peers.reload(&config.name, config.listen);
+                member.reload();
+            }
+            recv(board.up()) -> _ => up = true,
+            recv(look) -> _ => {
+                standing.look(board.state(), &log);
+                // Of two processes the later one leaves to the earlier what is the name's own.
+                if member.is_beside() {
+                    member.beside(another(&standing));
                 }
-                recv(ended) -> _ => return Ok(ExitCode::FAILURE),
+                divide.look(&standing, front.connections());
+            }
+            recv(changed) -> _ => {
+                let _ = to_list.try_send(membership::Report::Changed);
+                member.say(board.state());
             }
+            recv(ended) -> _ => return Ok(ExitCode::FAILURE),
+        }
         if up && standing.may_take() {
             up = false;
             if let Some(clients) = clients.take() {
@@ -336,6 +348,7 @@
     front.farewell();
     amqp.leave();
     let stop = stop.saturating_sub(limits.stop_margin / 4);
+    let look = looks();
     loop {
         let quiet = front.open() == 0 && board.owed() == 0 && amqp.has_left();
         // Who has not heard of the notice yet still comes; those that are early enough are served.
@@ -354,12 +367,35 @@
         }
         select! {
             recv(after(limits.drain_tick)) -> _ => {}
+            recv(look) -> _ => divide.look(&standing, front.connections()),
             recv(signals.reload) -> _ => peers.reload(&config.name, config.listen),
             recv(ended) -> _ => return Ok(ExitCode::FAILURE),
         }
     }
 }
 
+/// How this process and another of the node divide what the node may have, and who must hear when that changes.
+struct Divide {
+    parts: Parts,
+    board: Arc<Board>,
+    module: Sender<Msg>,
+    slots: usize,
+    log: Logger,
+}
+
+impl Divide {
+    /// Looks who stands beside this process, with so many connections here.
+    fn look(&mut self, standing: &Standing, connections: usize) {
+        let taken = (connections * PARTS as usize).div_ceil(self.slots.max(1)) as u32;
+        let used = self.board.used().max(taken);
+        if let Some(held) = self.parts.look(self.board.state(), standing.beside(), used, &self.log) {
+            self.board.set_parts(held);
+            // It reads these at once; one that has ended ends the process.
+            let _ = self.module.send(Msg::Parts(held));
+        }
+    }
+}
+
 /// Where the peers are, and who must hear when they move.
 struct Moves {
     cells: Option<Confinement>,
--- a/src/net/jsonrpc/events.rs
+++ b/src/net/jsonrpc/events.rs
@@ -12,6 +12,7 @@
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Poll, Token, Waker};
 use mothwinch_connections::{Breach, Due, Go, Room, Session};
+use mothwinch_service::share;
 use slog::{debug, info, warn, Logger};
 
 use super::message::{self, Incoming};
@@ -65,6 +66,8 @@
     turns: VecDeque<usize>,
     /// When to look at which connection again. An entry that is no longer its connection's timer is passed over.
     timers: BinaryHeap<Reverse<(Instant, usize)>>,
+    /// Connections that the node may have.
+    whole: usize,
     /// Bytes that wait to be written, over all connections.
     unsent: usize,
     chunk: Box<[u8]>,
@@ -92,6 +95,7 @@
             room: Room::default(),
             turns: VecDeque::new(),
             timers: BinaryHeap::new(),
+            whole: limits.front.connections,
             unsent: 0,
             chunk: vec![0; limits.read].into(),
             turned_away: Seldom::new(limits.log_seldom),
@@ -206,7 +210,16 @@
         }
     }
 
+    /// Connections that this process may have of the node's. Those past a part that fell go as their room is needed.
+    fn look_at_parts(&mut self) {
+        let connections = share(self.whole, self.core.board.parts());
+        if connections != self.limits.front.connections {
+            self.limits.front.set_connections(connections);
+        }
+    }
+
     fn connect(&mut self, mut stream: TcpStream, now: Instant) -> io::Result<()> {
+        self.look_at_parts();
         for (number, go) in self.room.make(self.connections.len(), &self.limits.front, now) {
             match go {
                 Go::Part => self.part(number, now),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,12 +8,12 @@
 mod module;
 mod request;
 
-use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam_channel::{bounded, Receiver, Sender};
-use mothwinch_service::{Refused, State, Step};
+use mothwinch_service::{Refused, State, Step, PARTS};
 use mothwinch_shared::Live;
 
 use crate::interface::{RequestId, Time};
@@ -53,6 +53,8 @@
     CallDone(RequestId, CallResult, Duration),
     /// So many calls at once are this node's part of the fleet's budget from now on.
     CallsOut(usize),
+    /// This process's parts of what the node may have are others from now on.
+    Parts(u32),
     /// The notice to leave.
     Drain,
     /// Another process of the node has taken over; this one is ended after this long.
@@ -112,6 +114,9 @@
     hint: AtomicU64,
     idle_us: AtomicI64,
     owed: AtomicUsize,
+    /// Parts of what the node may have that are this process's, and those that what the module has in hand takes.
+    parts: AtomicU32,
+    used: AtomicU32,
     /// Where this process stands: health, the list's reports, the fronts and the door all read it here.
     state: Mutex<State>,
     /// The executor has come up, which is said once.
@@ -125,6 +130,8 @@
             hint: AtomicU64::new(f64::NAN.to_bits()),
             idle_us: AtomicI64::new(0),
             owed: AtomicUsize::new(0),
+            parts: AtomicU32::new(PARTS),
+            used: AtomicU32::new(0),
             state: Mutex::default(),
             up: bounded(1),
         }
@@ -144,6 +151,18 @@
     pub fn idle(&self) -> Option<Duration> {
         u64::try_from(self.idle_us.load(Relaxed)).ok().filter(|us| *us > 0).map(Duration::from_micros)
     }
+    /// So many parts of what the node may have are this process's from now on.
+    pub fn set_parts(&self, parts: u32) {
+        self.parts.store(parts, Relaxed);
+    }
+    /// See [`Board::set_parts`].
+    pub fn parts(&self) -> u32 {
+        self.parts.load(Relaxed)
+    }
+    /// Parts that what the module has in hand takes.
+    pub fn used(&self) -> u32 {
+        self.used.load(Relaxed)
+    }
     /// Requests whose answer the module still owes.
     pub fn owed(&self) -> usize {
         self.owed.load(Relaxed)
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{at, never, select, tick, Receiver};
+use mothwinch_service::PARTS;
 use slog::{debug, info, warn, Logger};
 
 use super::book::{Book, Entry, Stage};
@@ -20,6 +21,11 @@
 use crate::logic::Policy;
 use crate::wire::Site;
 
+/// The module keeps a tenth of memory and places free.
+const MARGIN: f64 = 1.1;
+/// A part of the calls that stands for none: 0 would stand for no limit.
+const NEXT_TO_NOTHING: f64 = 0.01;
+
 /// What the module will be told with its next batch. The age of a request is told as of the batch.
 enum Pending {
     Read(Request, Time),
@@ -54,6 +60,8 @@
     tenant_keys: Vec<u64>,
     /// The module goes by counts of others.
     told_others: bool,
+    /// This process's parts of what the node may have.
+    parts: u32,
     twice: Seldom,
     heavy: Seldom,
     not_carried_out: Seldom,
@@ -88,6 +96,7 @@
         Module {
             tenant_keys,
             told_others: false,
+            parts: PARTS,
             site,
             seed,
             stop,
@@ -135,6 +144,31 @@
         }
     }
 
+    /// Tells the module what of memory, places and calls is this process's.
+    fn told_parts(&mut self, parts: u32) {
+        // Before there is a module this is told it as it starts.
+        self.parts = parts;
+        let set = &self.site.settings;
+        let part = f64::from(parts) / f64::from(PARTS);
+        // Where the fleet shares calls, its budget has both processes' in it.
+        let calls_out = self.peers.waiting.is_none().then_some(set.calls_out * part.max(NEXT_TO_NOTHING));
+        let of = Event::Part {
+            memory_kb: set.memory_kb * part,
+            crowd_per_core: set.crowd_per_core * part,
+            calls_out,
+        };
+        self.pending.push(Pending::Other(of));
+    }
+    /// Parts of what the node may have that are taken by what is in hand here, with the module's own margin.
+    fn parts_used(&self, booked_kb: f64) -> u32 {
+        let set = &self.site.settings;
+        let crowd = set.crowd_per_core * f64::from(set.cores);
+        let (_, running, ghosts) = self.book.counts();
+        let used =
+            (booked_kb / set.memory_kb.max(1.0)).max((running + ghosts) as f64 / crowd.max(1.0)) * MARGIN;
+        (used * f64::from(PARTS)).ceil().clamp(0.0, f64::from(PARTS)) as u32
+    }
+
     /// Tells the module what the others have in flight, as long as that is known.
     fn tell_others(&mut self) {
         let Some(fleet) = &self.peers.fleet else { return };
@@ -170,6 +204,7 @@
             self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal));
         }
         let booked_kb = self.book.booked_kb(self.site.settings.run_factor);
+        self.board.used.store(self.parts_used(booked_kb), Relaxed);
         self.peaks.booked_kb = self.peaks.booked_kb.max(booked_kb);
         self.state.log(|_| {
             let (held, running, ghosts) = self.book.counts();
@@ -290,6 +325,7 @@
             }
             Msg::CallDone(id, result, took) => self.call_done(id, result, took),
             Msg::CallsOut(places) => self.pending.push(Pending::Other(Event::CallsOut(places as f64))),
+            Msg::Parts(parts) => self.told_parts(parts),
             Msg::Replaced(left) => {
                 let left = left.saturating_sub(self.limits.stop_margin);
                 self.pending.push(Pending::Other(Event::Replaced(Span::from_ms(left.as_secs_f64() * 1e3))));
@@ -398,6 +434,9 @@
         let mut actions = Vec::new();
         policy.handle(unix_now() - age, &[], &mut actions);
         self.policy = Some(policy);
+        if self.parts != PARTS {
+            self.told_parts(self.parts);
+        }
         info!(self.log, "executor up"; "cold" => cold, "age_ms" => age.ms());
         actions.into_iter().for_each(|action| self.act(action));
         let _ = self.board.up.0.try_send(());
--- a/src/seat.rs
+++ b/src/seat.rs
@@ -6,7 +6,7 @@
 use std::io::{self, Read, Seek, Write};
 use std::path::{Path, PathBuf};
 
-use mothwinch_service::{word, Beside, State, WORD};
+use mothwinch_service::{parts, word, Beside, State, PARTS, WORD};
 use slog::{info, warn, Logger};
 
 /// Where this process stands among those of its node.
@@ -27,9 +27,7 @@
 impl Standing {
     /// Before the first look for a seat of the node of this name.
     pub fn new(folder: &Path, name: &str) -> Standing {
-        // A name is the platform's word and may hold anything.
-        let name: String =
-            name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
+        let name = plain(name);
         Standing::Waiting([0, 1].map(|n| folder.join(format!("mothwinch-{name}.seat{n}"))))
     }
 
@@ -73,6 +71,69 @@
     }
 }
 
+/// The parts of what the node may have that this process holds, each by the lock of a file of its own.
+pub struct Parts {
+    files: Vec<(PathBuf, Option<File>)>,
+    /// What a process that can see no other has: all of it, without locks.
+    alone: bool,
+}
+
+impl Parts {
+    /// None are held yet. One that stands alone has all of them at once.
+    pub fn new(folder: &Path, name: &str, standing: &Standing) -> Parts {
+        let path = |n: u32| folder.join(format!("mothwinch-{}.part{n}", plain(name)));
+        let alone = matches!(standing, Standing::Alone);
+        Parts { files: (0..if alone { 0 } else { PARTS }).map(|n| (path(n), None)).collect(), alone }
+    }
+    /// How many are held.
+    pub fn held(&self) -> u32 {
+        if self.alone {
+            return PARTS;
+        }
+        self.files.iter().filter(|(_, lock)| lock.is_some()).count() as u32
+    }
+    /// Lets go of parts, or takes what is free, so as to hold what this process is to. How many it holds, if that changed.
+    pub fn look(&mut self, own: State, other: Beside, used: u32, log: &Logger) -> Option<u32> {
+        if self.alone {
+            return None;
+        }
+        let before = self.held();
+        let wanted = parts(before, used, own, other);
+        let held = self.files.iter_mut().rev().map(|(_, lock)| lock).filter(|lock| lock.is_some());
+        // The lock goes with the file.
+        held.take(before.saturating_sub(wanted) as usize).for_each(|lock| *lock = None);
+        let mut missing = wanted.saturating_sub(before);
+        for (path, lock) in self.files.iter_mut().filter(|(_, lock)| lock.is_none()) {
+            if missing == 0 {
+                break;
+            }
+            match OpenOptions::new().write(true).create(true).truncate(false).open(&*path) {
+                Ok(file) if file.try_lock().is_ok() => {
+                    *lock = Some(file);
+                    missing -= 1;
+                }
+                Ok(_) => {}
+                Err(e) => {
+                    // Nothing is divided where nothing can be locked: the seats say the same of this folder.
+                    warn!(log, "no parts"; "error" => %e);
+                    self.alone = true;
+                    break;
+                }
+            }
+        }
+        let now = self.held();
+        (now != before).then(|| {
+            info!(log, "parts"; "held" => now, "of" => PARTS, "used" => used, "beside" => ?other);
+            now
+        })
+    }
+}
+
+/// A name as part of a file's: it is the platform's word and may hold anything.
+fn plain(name: &str) -> String {
+    name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect()
+}
+
 fn take(seats: &[PathBuf; 2]) -> io::Result<Option<Standing>> {
     for (seat, other) in [(&seats[0], &seats[1]), (&seats[1], &seats[0])] {
         let own = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(seat)?;
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -251,6 +251,28 @@
     }
 }
 
+/// Guards the one node's limits: two processes divide what it may have, the earlier one's part falls as the later one starts and
+/// serves, and a kill -9 of either gives back at once what it held.
+#[test]
+fn two_processes_divide_what_the_node_may_have() {
+    let said = |node: &Node, held: u32| node.log().contains(&format!("held: {held}"));
+    let mut first = with_door();
+    until("the first has all", || said(&first, 8));
+    let mut second = first.successor();
+    taking(&second);
+    until("each has a half", || said(&first, 4) && said(&second, 4));
+    assert!(!said(&second, 8));
+    second.kill();
+    until("the first has all again", || first.log().matches("held: 8").count() == 2);
+    let third = first.successor();
+    taking(&third);
+    until("each has a half again", || said(&third, 4));
+    first.kill();
+    until("the one left has all", || said(&third, 8));
+    let mut front = third.front();
+    assert_eq!(result(&front.ask(READ, "serve:whole")), "done serve:whole");
+}
+
 /// A kill of either in mid-replacement leaves nothing wrong: the other goes on, and the next one finds a seat.
 #[test]
 fn a_kill_of_either_process_leaves_the_other_whole() {
