--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -335,6 +335,11 @@
         self.signal(name, "STOP");
         self.slot_mut(name).stopped = true;
     }
+    /// Has a process read its files again.
+    pub fn hangup(&mut self, name: &str) {
+        self.note("reload", json!(name));
+        self.signal(name, "HUP");
+    }
     /// Has a stopped process go on.
     pub fn resume(&mut self, name: &str) {
         self.note("continue", json!(name));
--- a/tests/shared.rs
+++ b/tests/shared.rs
@@ -9,7 +9,7 @@
 use mothwinch_stand_ins::{until, Front};
 
 const MOST: Duration = Duration::from_secs(40);
-const TOTAL: usize = 12;
+const TOTAL: usize = 18;
 
 fn names(numbers: impl IntoIterator<Item = usize>) -> Vec<String> {
     numbers.into_iter().map(|n| format!("n{n}")).collect()
@@ -179,6 +179,65 @@
     drop(second);
 }
 
+/// The hard cases with processes, one after the other, printed as rows: `cargo test --release --test shared -- --ignored
+/// --nocapture hard_cases`. The total is exceeded in none.
+#[test]
+#[ignore = "takes three minutes"]
+fn hard_cases() {
+    let mut rig = fleet(12, true);
+    let mut clients: Vec<Clients> = rig.names().iter().map(|n| Clients::at(&rig, n, 4)).collect();
+    let row = |rig: &Rig, case: &str, long: u64, total: usize| {
+        let (most, used) = watch(rig, Duration::from_secs(long));
+        println!("| {case} | {most} of {total} | {:.2} |", used * TOTAL as f64 / total as f64);
+        assert!(most <= total, "{case}: {most}");
+    };
+    let full = |rig: &Rig, total: usize, case: &str| {
+        let part = |rig: &Rig| watch(rig, Duration::from_millis(300)).1 * TOTAL as f64 / total as f64;
+        let took = rig.wait(case, MOST, |rig| part(rig) > 0.95).expect("used again");
+        println!("| {case}: 95% used | | after {:.1} s |", took.as_secs_f64());
+    };
+    println!("| case | most in hand | mean part used |\n| --- | --- | --- |");
+    full(&rig, TOTAL, "start");
+    rig.weather(serde_json::json!({"loss": 0.2, "double": 1.0, "delay_ms": [0, 300]}), |link| {
+        (link.loss, link.double) = (0.2, 1.0);
+        link.delay = (Duration::ZERO, Duration::from_millis(300));
+    });
+    row(&rig, "all doubled, a fifth lost, reordered by up to 0.3 s", 20, TOTAL);
+    rig.heal();
+    full(&rig, TOTAL, "that healed");
+    let half = names(6..12);
+    rig.partition(&[names(0..6), half.clone()]);
+    row(&rig, "half hears nothing, first 10 s", 10, TOTAL);
+    row(&rig, "half hears nothing, the rest of a minute", 50, TOTAL);
+    rig.heal();
+    full(&rig, TOTAL, "that healed");
+    for n in 12..24 {
+        let text = std::fs::read_to_string(rig.fleet_file_of("n0")).expect("a file");
+        let from = text.find("period_ms").expect("lines of ours");
+        let fleet = text[from..].split(" advertise").next().expect("a part").to_string();
+        rig.plan(Plan { fleet, ..Plan::node(n) }).expect("sockets");
+        rig.start(&format!("n{n}"));
+    }
+    let more = names(12..24);
+    rig.up(&more.iter().map(String::as_str).collect::<Vec<_>>());
+    clients.extend(more.iter().map(|n| Clients::at(&rig, n, 4)));
+    row(&rig, "12 more join under load", 10, TOTAL);
+    more.iter().for_each(|n| rig.kill(n));
+    row(&rig, "those are killed in one instant", 10, TOTAL);
+    full(&rig, TOTAL, "12 left");
+    let cut = TOTAL * 2 / 3;
+    for name in names(0..12) {
+        let file = rig.fleet_file_of(&name);
+        let text = std::fs::read_to_string(&file).expect("a file");
+        let less = text.replace(&format!("total: {TOTAL}"), &format!("total: {cut}"));
+        std::fs::write(&file, less).expect("written");
+        rig.hangup(&name);
+    }
+    row(&rig, "the total is cut under full use, first 8 s", 8, TOTAL);
+    rig.database().held();
+    row(&rig, "the total is cut, after that", 5, cut);
+}
+
 /// Guards the routers' further tries: both routers get a part of the fleet's, what they say to spend never adds up to more than
 /// the total, streams cut under load or not, and they have parts again when another grants.
 #[test]
