A process that stands alone looks for another less often, and takes clients with its first part

Ruled out: the parts themselves, as no second process stood there ("parts, beside: Nobody, used: 0, of: 8, held: 8" once a node and no more).

Cause: src/main.rs opened the other seat's file twenty times a second on a node that has a tenth of a core. Change: every 200 ms while all parts are held, 50 ms otherwise. So that nobody is refused for the longer wait, a process that starts beside another takes clients once it holds a part, after 2 s at the latest.

--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use clap::{Parser, Subcommand};
-use crossbeam_channel::{after, bounded, never, select, tick, Receiver, Sender};
+use crossbeam_channel::{after, bounded, never, select, Receiver, Sender};
 use mothwinch::amqp::Amqp;
 use mothwinch::inventory::{self, InventoryError};
 use mothwinch::member::Member;
@@ -281,8 +281,13 @@
     if standing.beside() != Beside::Taking {
         member.join(board.state(), serves).map_err(system("fleet"))?;
     }
-    let looks = || if config.door.is_some() { tick(limits.seat_look) } else { never() };
-    let look = looks();
+    let pace = |divide: &Divide| match config.door {
+        Some(_) if divide.whole() => after(limits.seat_look_alone),
+        Some(_) => after(limits.seat_look),
+        None => never(),
+    };
+    let began = Instant::now();
+    let mut look = pace(&divide);
     let mut up = false;
     let mut peers = Moves {
         cells,
@@ -306,6 +311,7 @@
                     member.beside(another(&standing));
                 }
                 divide.look(&standing, front.connections());
+                look = pace(&divide);
             }
             recv(changed) -> _ => {
                 let _ = to_list.try_send(membership::Report::Changed);
@@ -313,7 +319,9 @@
             }
             recv(ended) -> _ => return Ok(ExitCode::FAILURE),
         }
-        if up && standing.may_take() {
+        // Without a part it could only refuse what comes.
+        let has_part = divide.parts.held() > 0 || began.elapsed() >= limits.first_part;
+        if up && standing.may_take() && has_part {
             up = false;
             if let Some(clients) = clients.take() {
                 serves = Some(listen(clients).map_err(system("listen"))?);
@@ -348,7 +356,6 @@
     front.farewell();
     amqp.leave();
     let stop = stop.saturating_sub(limits.stop_margin / 4);
-    let look = looks();
     loop {
         let quiet = front.open() == 0 && board.owed() == 0 && amqp.has_left();
         // Who has not heard of the notice yet still comes; those that are early enough are served.
@@ -367,7 +374,10 @@
         }
         select! {
             recv(after(limits.drain_tick)) -> _ => {}
-            recv(look) -> _ => divide.look(&standing, front.connections()),
+            recv(look) -> _ => {
+                divide.look(&standing, front.connections());
+                look = pace(&divide);
+            }
             recv(signals.reload) -> _ => peers.reload(&config.name, config.listen),
             recv(ended) -> _ => return Ok(ExitCode::FAILURE),
         }
@@ -384,6 +394,10 @@
 }
 
 impl Divide {
+    /// All is this process's, as nobody stands beside it.
+    fn whole(&self) -> bool {
+        self.parts.held() == PARTS
+    }
     /// Looks who stands beside this process, with so many connections here.
     fn look(&mut self, standing: &Standing, connections: usize) {
         let taken = (connections * PARTS as usize).div_ceil(self.slots.max(1)) as u32;
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -41,8 +41,12 @@
     pub replaced_deadline: Duration,
     /// See `replaced_deadline`.
     pub replaced_grace: Duration,
-    /// Between tries for a seat, where another process may stand beside this one.
+    /// Between looks at the other seat while somebody is there or was, and a seat or a part is waited for ...
     pub seat_look: Duration,
+    /// ... and while nobody is: a look costs a few calls of the system's on a node that has a tenth of a core.
+    pub seat_look_alone: Duration,
+    /// How long a process that starts beside another waits for its first part before it takes clients all the same.
+    pub first_part: Duration,
     /// Readiness events taken from the poll at once.
     pub front_events: usize,
     /// While the module is this far behind, time between looks at whether it has caught up.
@@ -139,6 +143,8 @@
             replaced_deadline: Duration::from_secs(3),
             replaced_grace: Duration::from_millis(700),
             seat_look: Duration::from_millis(50),
+            seat_look_alone: Duration::from_millis(200),
+            first_part: Duration::from_secs(2),
             front_events: 256,
             front_hold: Duration::from_millis(1),
             front_output_all: 4 * 1024 * 1024,
