A node whose settings have nothing below starts without a database

Checked: only nodes of the second tier end so, whose settings have dependsOn off; the first tier's configuration has the field.

Cause: src/node/config.rs took `db` as a field that is always there. Change: it may be absent where the settings have nothing below; with calls below its absence is the one line it was, naming the field. A call asked for all the same ends as never made.

Test: a_node_with_nothing_below_starts_without_a_database fails without it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -434,7 +434,7 @@
         if config.name != name || config.listen != listen {
             warn!(self.log, "name and listening address change with a restart only");
         }
-        info!(self.log, "configuration read again"; "executor" => %config.executor, "database" => %config.database,
+        info!(self.log, "configuration read again"; "executor" => %config.executor, "database" => ?config.database,
             "members" => %config.members);
         // The actors take these at any time, so the sends end; one that is gone has ended the node already.
         if std::mem::replace(&mut self.executor.0, config.executor) != config.executor {
--- a/src/net/database.rs
+++ b/src/net/database.rs
@@ -297,7 +297,10 @@
     fn begin(&mut self, mut call: Call) -> Result<(), Gone> {
         call.limit = self.limit(&call);
         let begun = Instant::now();
-        let to = self.to.get();
+        // Nothing is below: no call can be made, and none was.
+        let Some(to) = self.to.get() else {
+            return self.end(&call, begun, Err(ReplyError::NotSent(ErrorKind::AddrNotAvailable.into())));
+        };
         let number = self.next;
         self.next += 1;
         let both = Interest::READABLE | Interest::WRITABLE;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,19 +20,20 @@
 }
 
 /// Where a peer is now: a reload may move it. What is open stays where it is, new connections go to the new place.
-pub struct Address(RwLock<SocketAddr>);
+/// Nowhere at a site that has no such peer.
+pub struct Address(RwLock<Option<SocketAddr>>);
 
 impl Address {
-    /// A peer at this place.
-    pub fn new(at: SocketAddr) -> Address {
-        Address(RwLock::new(at))
+    /// A peer at this place, if there is one.
+    pub fn new(at: impl Into<Option<SocketAddr>>) -> Address {
+        Address(RwLock::new(at.into()))
     }
     /// The place.
-    pub fn get(&self) -> SocketAddr {
+    pub fn get(&self) -> Option<SocketAddr> {
         *self.0.read().unwrap_or_else(PoisonError::into_inner)
     }
     /// Moves it.
-    pub fn set(&self, to: SocketAddr) {
+    pub fn set(&self, to: Option<SocketAddr>) {
         *self.0.write().unwrap_or_else(PoisonError::into_inner) = to;
     }
 }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 
 use crate::wire::Site;
-use crate::{Effect, SettingsError};
+use crate::{Below, Effect, SettingsError};
 
 /// Why the program can't start.
 #[derive(Debug)]
@@ -44,7 +44,7 @@
     listen: SocketAddr,
     executor: SocketAddr,
     members: SocketAddr,
-    db: SocketAddr,
+    db: Option<SocketAddr>,
     admin: Option<SocketAddr>,
     seed: String,
     stop_ms: f64,
@@ -73,8 +73,8 @@
     pub executor: SocketAddr,
     /// The membership service's address.
     pub members: SocketAddr,
-    /// The database's address.
-    pub database: SocketAddr,
+    /// The database's address, where the settings have something below.
+    pub database: Option<SocketAddr>,
     /// Where the operators' door listens, if there is one.
     pub door: Option<SocketAddr>,
     /// For random numbers.
@@ -112,6 +112,10 @@
             .map_err(|_| malformed("stop_ms is not a length of time"))?;
         let site = Site::from_json(&file.settings).map_err(ConfigError::Malformed)?;
         site.settings.check().map_err(ConfigError::Settings)?;
+        // What has nothing below it is told of no database.
+        if site.settings.below != Below::Nothing && file.db.is_none() {
+            return Err(malformed("missing field `db`, though the settings have calls below"));
+        }
         // No front names a key by which a repeat could be told, so these would be served wrongly.
         if site.settings.classes.iter().any(|c| c.effect == Effect::ByKey) {
             return Err(ConfigError::NotOffered("classes run by key".into()));
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -414,8 +414,11 @@
     keyed["settings"]["lanes"][0]["effect"] = json!("by_key");
     let mut coreless = config(unused, unused, unused);
     coreless["settings"]["specifics"]["cores"] = json!(0);
+    let mut without_database = config(unused, unused, unused);
+    without_database.as_object_mut().expect("an object").remove("db");
     let cases = [
         ("{".to_string(), "configuration:"),
+        (without_database.to_string(), "`db`"),
         (keyed.to_string(), "settings ask for classes run by key"),
         (coreless.to_string(), "settings name no cores"),
     ];
@@ -428,6 +431,24 @@
     }
 }
 
+/// Guards a site whose nodes have nothing below them, as those of a second tier: they are told of no database, and start.
+#[test]
+fn a_node_with_nothing_below_starts_without_a_database() {
+    let mut node = Node::start_with(None, |config| {
+        config.as_object_mut().expect("an object").remove("db");
+        config["settings"]["specifics"]["dependsOn"] = json!("off");
+        config["settings"]["specifics"]["classCalls"] = json!([false, false]);
+    });
+    let mut front = node.front();
+    assert_eq!(body(&front.ask("statement-read", "serve")), "done serve");
+    // A call that a run asks for all the same can't be made, and is answered by its due time.
+    assert!(code(&front.ask("statement-read", "call:ok")) != 0);
+    node.reload("{");
+    assert_eq!(body(&front.ask("settlement-post", "serve")), "done serve");
+    node.terminate();
+    assert_eq!(node.exit().code(), Some(0));
+}
+
 /// Guards the limits of a node under a full table of connections: 192 MB and 1,024 descriptors. Each connection is
 /// one descriptor.
 #[test]
