Classes run by key, budgets, callers that leave and calls left out are served

Cause: Config::parse refused them, as no wire carried keys, budgets, leaves or BYPASS, and the module's actor passed over Remember, Join and SkipCall. Change: crates/keys holds the table (held, running, over; a repeat is told by its own arrival; bounded in bytes, full means refusing new keys). The actor enters first tries, joins repeats, keeps results, frees what never ran; runs by key are not stopped, as the next try comes for their result. token, budget and cancelRequest on JSON-RPC, BYPASS to the executor.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -167,6 +167,11 @@
                 let reply = unbase64(command["content"].as_str().expect("a reply"));
                 self.exit(&uid, "OK", Some(&reply));
             }
+            Some("BYPASS") if self.running.get(&uid).is_some_and(|(_, waits)| *waits) => {
+                let asked = self.notices.get(command["pos"].as_u64().unwrap_or(0) as usize - 1);
+                let asked = asked.is_some_and(|notice| notice.contains("CALLOUT") && notice.contains(&uid));
+                self.exit(&uid, "OK", asked.then_some("without the call"));
+            }
             Some("KILL") => {
                 self.killed += 1;
                 self.exit(&uid, "STOPPED", None);
@@ -665,12 +670,29 @@
     }
     /// The same for one that came to the machine at `t0`.
     pub fn send_from(&mut self, class: &str, body: &str, t0: u64) -> u64 {
+        self.send_with(class, body, json!({"t0": t0}))
+    }
+    /// The same with these fields of its own.
+    pub fn send_with(&mut self, class: &str, body: &str, fields: Value) -> u64 {
+        let (id, line) = self.line(class, body, fields);
+        self.raw(&line);
+        id
+    }
+    /// The line of a request that is not sent yet, and its id.
+    pub fn line(&mut self, class: &str, body: &str, fields: Value) -> (u64, String) {
         self.next += 1;
         let rid = format!("{:08x}{:08x}", self.stream.local_addr().expect("bound").port(), self.next);
-        let params = json!({"rid": rid, "t0": t0, "peer": 4, "acct": "alpenergia", "mem": 24.5, "prio": 0.5,
-                            "body": base64(body)});
-        self.raw(&json!({"jsonrpc": "2.0", "id": self.next, "method": class, "params": params}).to_string());
-        self.next
+        let mut params = json!({"rid": rid, "t0": unix_ms(), "peer": 4, "acct": "alpenergia", "mem": 24.5, "prio": 0.5,
+                                "body": base64(body)});
+        for (name, value) in fields.as_object().into_iter().flatten() {
+            params[name] = value.clone();
+        }
+        let line = json!({"jsonrpc": "2.0", "id": self.next, "method": class, "params": params});
+        (self.next, line.to_string())
+    }
+    /// Says that nobody waits for this request any more.
+    pub fn cancel(&mut self, id: u64) {
+        self.raw(&json!({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": id}}).to_string());
     }
     /// The next message; null at the end of the connection.
     #[allow(clippy::should_implement_trait)] // It has no end to iterate to: null comes again and again.
--- a/src/main.rs
+++ b/src/main.rs
@@ -167,7 +167,7 @@
     let (inventory, cells) = (cli.inventory.as_deref(), cli.cells.as_deref());
     let config = Config::from_env().map_err(StartError::Config)?;
     let in_fleet = cli.fleet.as_deref().map(fleet::Config::read).transpose().map_err(StartError::Fleet)?;
-    let mut limits = Limits::new(config.sockets);
+    let mut limits = Limits::new(config.sockets).within(config.memory_mb);
     let env = |name: &str| std::env::var(name).ok();
     let queues = inventory.map_or(Ok(Vec::new()), |file| inventory::read(file, &config.site, &limits, env));
     let queues = queues.map_err(StartError::Inventory)?;
--- a/src/net/executor.rs
+++ b/src/net/executor.rs
@@ -20,6 +20,7 @@
     Exec { uid: &'a str, lane: &'a str, content: &'a str },
     Kill { uid: &'a str },
     Return { uid: &'a str, content: &'a str },
+    Bypass { uid: &'a str, pos: u64 },
     Meter { echo: &'a str },
 }
 
@@ -179,6 +180,7 @@
         ToExecutor::Return(rid, body) => {
             write(stream, &Command::Return { uid: rid.as_str(), content: body.as_base64() })
         }
+        ToExecutor::Bypass(rid, pos) => write(stream, &Command::Bypass { uid: rid.as_str(), pos: *pos }),
         ToExecutor::Meter(tag) => write(stream, &Command::Meter { echo: &tag.to_string() }),
     }
 }
@@ -248,7 +250,7 @@
                     return Some(());
                 }
                 let Some(rid) = Rid::parse(&uid) else { return Some(()) };
-                Msg::Callout(rid, Body::from_base64(content))
+                Msg::Callout(rid, pos, Body::from_base64(content))
             }
             Notice::Meters { echo, .. } if echo == QUIET => return self.tell.send(FromReader::Quiet).ok(),
             Notice::Meters { echo, meters } => match echo.parse() {
--- a/src/net/jsonrpc/events.rs
+++ b/src/net/jsonrpc/events.rs
@@ -17,7 +17,7 @@
 
 use super::message::{self, Incoming};
 use super::{Counts, Mailbox, Out};
-use crate::node::{Arrival, Board, Limits, Msg, Reply, Seldom};
+use crate::node::{Arrival, Board, Limits, Msg, Reply, Rid, Seldom};
 use crate::wire::Site;
 
 const LISTENER: Token = Token(0);
@@ -36,6 +36,8 @@
 struct Connection {
     stream: TcpStream,
     session: Session,
+    /// What is open on it, by the ids of its requests, where callers tell when they leave.
+    open: HashMap<u64, Rid>,
     /// There may be something to read; so much is known from the poll, which tells of a change once.
     readable: bool,
     /// The peer has ended its side: the poll has told, so reading goes on until it shows.
@@ -235,8 +237,15 @@
         // Both at once: the poll tells of changes alone, so the one that is not waited for costs nothing.
         self.poll.registry().register(&mut stream, Token(number), Interest::READABLE | Interest::WRITABLE)?;
         let session = Session::new(&self.limits.front, now);
-        let connection =
-            Connection { stream, session, readable: false, hung_up: false, queued: false, timer: None };
+        let connection = Connection {
+            stream,
+            session,
+            open: HashMap::new(),
+            readable: false,
+            hung_up: false,
+            queued: false,
+            timer: None,
+        };
         self.connections.insert(number, connection);
         self.counts.connections.store(self.connections.len(), SeqCst);
         self.settle(number, now);
@@ -360,6 +369,14 @@
                 let line = message::health(id, self.core.board.ready(), self.core.board.hint());
                 self.put(number, &line, now);
             }
+            // One that is answered, or was never here, does no harm.
+            Incoming::Cancel(id) => {
+                let Some(rid) = c.open.remove(&id) else { return };
+                if c.session.answered(id, now) {
+                    self.counts.open.fetch_sub(1, SeqCst);
+                }
+                let _ = self.core.module.send(Msg::CallerLeft(rid));
+            }
             Incoming::Notification => {}
             Incoming::Malformed(answer) => self.breach(number, &answer, now),
             Incoming::Request(id, class, params) => match c.session.request(id, now) {
@@ -368,6 +385,9 @@
                     let mailbox = self.mailbox.clone();
                     let reply = Reply::new(move |answer| mailbox.tell(Out::Answer(number, id, answer)));
                     let arrival: Arrival = params.arrival(class, &self.core.site, reply);
+                    if self.core.site.tells_gone {
+                        c.open.insert(id, arrival.rid);
+                    }
                     // Without a module the node has ended.
                     let _ = self.core.module.send(Msg::Arrived(Box::new(arrival)));
                 }
@@ -404,6 +424,7 @@
             match out {
                 Out::Answer(number, id, answer) => {
                     let Some(c) = self.connections.get_mut(&number) else { continue };
+                    c.open.remove(&id);
                     if c.session.answered(id, now) {
                         self.put(number, &message::answer(id, &answer), now);
                         written.push(number);
--- a/src/net/jsonrpc/message.rs
+++ b/src/net/jsonrpc/message.rs
@@ -7,7 +7,7 @@
 
 use crate::node::{Answer, Arrival, Body, Outcome, Reply, Rid};
 use crate::wire::Site;
-use crate::{CallerId, ClassId, Time};
+use crate::{CallerId, ClassId, Effect, Span, Time};
 
 /// A refusal: this try never ran.
 pub const REFUSED: i32 = -32002;
@@ -24,6 +24,8 @@
     Alive(u64),
     /// A request to be served.
     Request(u64, ClassId, Params),
+    /// The caller of the request with this id waits no more.
+    Cancel(u64),
     /// A notification, which gets no answer.
     Notification,
     /// Something that gets this answer.
@@ -37,6 +39,8 @@
     t0: f64,
     peer: u64,
     acct: Option<String>,
+    budget: Option<f64>,
+    token: Option<String>,
     again: Option<u8>,
     mem: f64,
     prio: f64,
@@ -46,6 +50,10 @@
 
 /// Bytes of a body at most.
 const BODY: usize = 2048;
+/// Hex digits of a token.
+const TOKEN: usize = 32;
+/// The longest that a caller may say to wait, in milliseconds: no class is waited for that long.
+const BUDGET: f64 = 3.6e6;
 
 impl Params {
     /// The request for the core, or nothing where a field is out of its range.
@@ -58,18 +66,22 @@
             tenant: acct.as_deref().map(|name| site.tenant(name)),
             named: acct.map(|name| (name.into(), self.obj.map(Into::into))),
             at: Time((self.t0 * 1e3) as i64),
+            wait: self.budget.filter(|_| site.passes_deadline).map(Span::from_ms),
             caller: CallerId(self.peer),
             resent: self.again == Some(1),
             held_kb: self.mem,
             body: Body::from_base64(self.body),
-            once_key: None,
+            key: self.token.map(Into::into),
             may_have_run: false,
             unwanted: false,
             reply,
         }
     }
     /// Whether every field is what the protocol allows at this site.
-    fn check(&self, site: &Site) -> Result<(), &'static str> {
+    fn check(&self, class: ClassId, site: &Site) -> Result<(), &'static str> {
+        let by_key = site.settings.classes.get(class.0).is_some_and(|c| c.effect == Effect::ByKey);
+        let is_token = |t: &str| t.len() == TOKEN && t.bytes().all(|b| b.is_ascii_hexdigit());
+        let is_budget = |ms: f64| ms > 0.0 && ms <= BUDGET;
         let body = STANDARD.decode(&self.body).map(|bytes| bytes.len());
         let faults = [
             (Rid::parse(&self.rid).is_none(), "rid is not 16 hex digits"),
@@ -80,6 +92,10 @@
             (self.again.is_some_and(|again| again != 1), "again is not 1"),
             (self.obj.as_deref().is_some_and(|obj| Rid::parse(obj).is_none()), "obj is not 16 hex digits"),
             (self.acct.as_deref().is_some_and(|name| !site.may_name(name)), "no such tenant"),
+            (by_key && self.token.is_none(), "no token in a class that is run by key"),
+            (self.token.as_deref().is_some_and(|t| !is_token(t)), "token is not 32 hex digits"),
+            (site.passes_deadline && self.budget.is_none(), "no budget"),
+            (self.budget.is_some_and(|ms| !is_budget(ms)), "budget is out of range"),
             (body.is_err(), "body is not base64"),
             (body.is_ok_and(|length| length > BODY), "body is too long"),
         ];
@@ -104,7 +120,8 @@
         return malformed(id, INVALID_REQUEST, "no method");
     };
     if value.get("id").is_none() {
-        return Incoming::Notification;
+        let left = value.pointer("/params/id").and_then(Value::as_u64).filter(|_| method == CANCEL);
+        return left.map_or(Incoming::Notification, Incoming::Cancel);
     }
     let Some(number) = id else {
         return malformed(None, INVALID_REQUEST, "id is not a number from 1 up");
@@ -117,7 +134,7 @@
     };
     let params = value.get("params").unwrap_or(&Value::Null);
     match Params::deserialize(params) {
-        Ok(params) => match params.check(site) {
+        Ok(params) => match params.check(class, site) {
             Ok(()) => Incoming::Request(number, class, params),
             Err(what) => malformed(id, INVALID_PARAMS, what),
         },
@@ -212,5 +229,8 @@
     json!({"jsonrpc": "2.0", "id": null, "error": error}).to_string() + "\n"
 }
 
+/// The notification by which a front end says that it waits no more for a request.
+const CANCEL: &str = "cancelRequest";
+
 /// The notification after which a connection gets no new request.
 pub const FAREWELL: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"farewell\"}\n";
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -7,8 +7,9 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use super::limits::MEMORY_MB;
 use crate::wire::Site;
-use crate::{Below, Effect, SettingsError};
+use crate::{Below, SettingsError, Span};
 
 /// Why the program can't start.
 #[derive(Debug)]
@@ -21,8 +22,6 @@
     Malformed(String),
     /// The settings can't be used.
     Settings(SettingsError),
-    /// The settings ask for what this program's wires don't carry.
-    NotOffered(String),
 }
 
 impl fmt::Display for ConfigError {
@@ -32,7 +31,6 @@
             ConfigError::Unreadable(file, e) => write!(f, "{file}: {e}"),
             ConfigError::Malformed(what) => write!(f, "configuration: {what}"),
             ConfigError::Settings(e) => write!(f, "{e}"),
-            ConfigError::NotOffered(what) => write!(f, "settings ask for {what}"),
         }
     }
 }
@@ -56,10 +54,11 @@
 #[serde(default)]
 struct FileLimits {
     sockets: usize,
+    memory_mb: f64,
 }
 impl Default for FileLimits {
     fn default() -> FileLimits {
-        FileLimits { sockets: 1024 }
+        FileLimits { sockets: 1024, memory_mb: MEMORY_MB }
     }
 }
 
@@ -83,6 +82,8 @@
     pub stop: Duration,
     /// Descriptors it may hold.
     pub sockets: usize,
+    /// Memory that it may take, in megabytes.
+    pub memory_mb: f64,
     /// What the module is told.
     pub site: Site,
 }
@@ -110,22 +111,18 @@
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| malformed("seed is not a hex number"))?;
         let stop = Duration::try_from_secs_f64(file.stop_ms / 1e3)
             .map_err(|_| malformed("stop_ms is not a length of time"))?;
-        let site = Site::from_json(&file.settings).map_err(ConfigError::Malformed)?;
+        if !(file.limits.memory_mb.is_finite() && file.limits.memory_mb > 0.0) {
+            return Err(malformed("limits.memory_mb is not a size"));
+        }
+        let mut site = Site::from_json(&file.settings).map_err(ConfigError::Malformed)?;
         site.settings.check().map_err(ConfigError::Settings)?;
         // What has nothing below it is told of no database.
         if site.settings.below != Below::Nothing && file.db.is_none() {
             return Err(malformed("missing field `db`, though the settings have calls below"));
         }
-        // No front names a key by which a repeat could be told, so these would be served wrongly.
-        if site.settings.classes.iter().any(|c| c.effect == Effect::ByKey) {
-            return Err(ConfigError::NotOffered("classes run by key".into()));
-        }
-        if site.settings.share_for.0 > 0 {
-            return Err(ConfigError::NotOffered("shared reads".into()));
-        }
-        if site.settings.classes.iter().any(|c| c.skip_worth > 0.0) {
-            return Err(ConfigError::NotOffered("calls left out".into()));
-        }
+        // On these wires an answer must be one that a run of its own request made, unless it is run by key: a read is not
+        // served from another's run, whatever the settings allow the module.
+        site.settings.share_for = Span(0);
         Ok(Config {
             name: file.name,
             listen: file.listen,
@@ -136,6 +133,7 @@
             seed,
             stop,
             sockets: file.limits.sockets,
+            memory_mb: file.limits.memory_mb,
             site,
         })
     }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -6,6 +6,11 @@
 
 use crate::wire::Site;
 
+/// The most megabytes that the platform gives.
+pub const MEMORY_MB: f64 = 192.0;
+/// Part of the memory that the table of keys may take.
+const KEYS_PART: f64 = 0.125;
+
 /// See the module's head. Figures that the platform sets are filled in by [`Limits::new`].
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -87,8 +92,11 @@
     pub stop_margin: Duration,
     /// Between looks at what is still open while leaving.
     pub drain_tick: Duration,
-    /// Keys remembered as run in this life: 16 bytes each and the table's room.
-    pub once_keys: usize,
+    /// Bytes of the table of keys, with the results kept under them: `KEYS_PART` of the memory. When it is full, requests
+    /// that would be run by a new key are refused.
+    pub keys_bytes: usize,
+    /// Bytes of a result, set aside in the table for each run by key: 4 KiB in base64.
+    pub key_result: usize,
     /// Bytes of an AMQP frame, offered to the broker; every broker allows 4 KiB.
     pub amqp_frame: usize,
     /// Bytes of a message, as of a request by JSON-RPC.
@@ -120,7 +128,12 @@
         Duration::from_micros(longest.unsigned_abs()).min(self.replaced_deadline) + self.replaced_grace
     }
 
-    /// The limits under so many descriptors.
+    /// The limits of a process that may take so many megabytes.
+    pub fn within(self, memory_mb: f64) -> Limits {
+        Limits { keys_bytes: (memory_mb.max(0.0) * KEYS_PART * 1024.0 * 1024.0) as usize, ..self }
+    }
+
+    /// The limits under so many descriptors, with as much memory as the platform gives at the most.
     pub fn new(sockets: usize) -> Limits {
         let database_lanes = 24;
         // Lanes, the executor, the list, the listener, standard streams and a few spare ones come off.
@@ -165,7 +178,8 @@
             meter: Duration::from_millis(12),
             stop_margin: Duration::from_millis(120),
             drain_tick: Duration::from_millis(5),
-            once_keys: 500_000,
+            keys_bytes: (MEMORY_MB * KEYS_PART * 1024.0 * 1024.0) as usize,
+            key_result: 5464,
             amqp_frame: 8192,
             amqp_body: 2048,
             amqp_frames: 64,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -43,12 +43,14 @@
     ExecutorDown,
     /// A run ended.
     Exit(Rid, RunExit),
-    /// A run waits for a call with this body.
-    Callout(Rid, Body),
+    /// A run waits for a call with this body; the notice had this number.
+    Callout(Rid, u64, Body),
     /// The gauges asked for under this tag.
     Meters(u64, Vec<f64>),
     /// A command to run was not carried out.
     NotCarriedOut(Rid),
+    /// The caller of a request waits no more.
+    CallerLeft(Rid),
     /// A call ended.
     CallDone(RequestId, CallResult, Duration),
     /// So many calls at once are this node's part of the fleet's budget from now on.
@@ -91,6 +93,8 @@
     Kill(Rid),
     /// Hand a run the reply it waits for.
     Return(Rid, Body),
+    /// Have a run go on without the call that the notice of this number asked for.
+    Bypass(Rid, u64),
     /// Ask for the gauges.
     Meter(u64),
 }
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -9,11 +9,12 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{at, never, select, tick, Receiver};
+use mothwinch_keys::{Found, Joined, Table, NEVER};
 use mothwinch_service::PARTS;
 use slog::{debug, info, warn, Logger};
 
-use super::book::{Book, Entry, Stage};
-use super::request::{Answer, Arrival, Failure, Outcome, Rid};
+use super::book::{Book, End, Entry, Stage};
+use super::request::{Answer, Arrival, Failure, Outcome, Reply, Rid};
 use super::{
     unix_now, Board, Call, CallResult, Confinement, Limits, Msg, Peers, RunExit, Seldom, ToExecutor,
 };
@@ -88,7 +89,10 @@
         (board, cells): (Arc<Board>, Option<Confinement>),
         log: Logger,
     ) -> Module {
-        let book = Book::new(limits.once_keys);
+        // A try that lay unread for longer is refused as it is read.
+        let longest = site.settings.classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
+        let unread = longest + site.settings.answer_slack.0;
+        let book = Book::new(Table::new(limits.keys_bytes, limits.key_result, unread));
         let seldom = || Seldom::new(limits.log_seldom);
         let (twice, heavy, not_carried_out) = (seldom(), seldom(), seldom());
         let state = Seldom::new(limits.log_state);
@@ -187,13 +191,22 @@
     fn sweep(&mut self) {
         self.tell_others();
         if let Some(waiting) = &self.peers.waiting {
-            waiting(self.book.all().filter(|e| matches!(e.stage, Stage::AtCall(_))).count());
+            waiting(self.book.all().filter(|e| matches!(e.stage, Stage::AtCall(..))).count());
         }
         let (again, over) = (self.limits.stop_again, self.limits.stop_given_up);
-        let late = |e: &&mut Entry| e.ran() && e.answered.is_some_and(|at| at.elapsed() >= again);
+        let classes = &self.site.settings.classes;
+        // One run by key goes on, as another try may come for its result.
+        let grace = |class: ClassId| match classes.get(class.0) {
+            Some(c) if c.effect == Effect::ByKey => Duration::from_micros(c.deadline.0.unsigned_abs()),
+            _ => Duration::ZERO,
+        };
         let mut gone = Vec::new();
-        for entry in self.book.all().filter(late) {
-            if entry.answered.is_some_and(|at| at.elapsed() >= over) {
+        for entry in self.book.all().filter(|e| e.ran()) {
+            let Some(since) = entry.answered.map(|at| at.elapsed()) else { continue };
+            if since < again + grace(entry.class) {
+                continue;
+            }
+            if since >= over + grace(entry.class) {
                 gone.push(entry.rid);
             } else {
                 let _ = self.peers.executor.try_send(ToExecutor::Kill(entry.rid));
@@ -201,8 +214,9 @@
         }
         for rid in gone {
             warn!(self.log, "the end of a run never came"; "rid" => %rid);
-            self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal));
+            self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal), Some(End::Failed));
         }
+        self.book.keys.expire(unix_now().0);
         let booked_kb = self.book.booked_kb(self.site.settings.run_factor);
         self.board.used.store(self.parts_used(booked_kb), Relaxed);
         self.peaks.booked_kb = self.peaks.booked_kb.max(booked_kb);
@@ -210,7 +224,8 @@
             let (held, running, ghosts) = self.book.counts();
             let peaks = std::mem::take(&mut self.peaks);
             info!(self.log, "state"; "held" => held, "running" => running, "ghosts" => ghosts,
-                "owed" => self.board.owed(), "timers" => self.timers.len(), "pending" => self.pending.len(),
+                "owed" => self.board.owed(), "keys" => self.book.keys.len(),
+                "keys_kb" => self.book.keys.bytes() / 1024, "timers" => self.timers.len(), "pending" => self.pending.len(),
                 "booked_kb" => booked_kb as u64, "most_booked_kb" => peaks.booked_kb as u64,
                 "calls" => ?self.policy.as_ref().map(Policy::calls_seen),
                 "memory_kb" => self.site.settings.memory_kb as u64, "oldest_read_ms" => peaks.age.ms() as u64);
@@ -267,6 +282,7 @@
         let told = |p: Pending| match p {
             Pending::Read(mut request, arrived) => {
                 request.age = Span((now - arrived).0.max(0));
+                request.wait_left = request.wait_left.map(|wait| Span((wait.0 - request.age.0).max(0)));
                 *oldest = request.age.max(*oldest);
                 Event::Read(request)
             }
@@ -299,11 +315,11 @@
                 self.book.all().filter(|e| e.ran()).for_each(|e| e.unsure = true);
             }
             Msg::Exit(rid, how) => self.exit(rid, how),
-            Msg::Callout(rid, body) => {
+            Msg::Callout(rid, pos, body) => {
                 let Some(id) = self.book.find(rid) else { return };
                 if let Some(entry) = self.book.get(id) {
                     entry.unsure = false;
-                    entry.stage = Stage::AtCall(body);
+                    entry.stage = Stage::AtCall(body, pos);
                     self.pending.push(Pending::Other(Event::NeedsCall(id)));
                 }
             }
@@ -321,8 +337,9 @@
                 self.not_carried_out.log(|more| {
                     warn!(self.log, "the executor would not run a request"; "rid" => %rid, "more" => more);
                 });
-                self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal));
+                self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal), None);
             }
+            Msg::CallerLeft(rid) => self.caller_left(rid),
             Msg::CallDone(id, result, took) => self.call_done(id, result, took),
             Msg::CallsOut(places) => self.pending.push(Pending::Other(Event::CallsOut(places as f64))),
             Msg::Parts(parts) => self.told_parts(parts),
@@ -340,34 +357,48 @@
     }
 
     fn arrived(&mut self, a: Arrival) {
-        let Arrival { rid, class, tenant, at, caller, resent, held_kb, body, reply, .. } = a;
-        let effect = self.site.settings.classes.get(class.0).map_or(Effect::Once, |c| c.effect);
+        let Arrival { rid, class, tenant, at, wait, caller, resent, held_kb, body, reply, .. } = a;
+        let told = self.site.settings.classes.get(class.0);
+        let effect = told.map_or(Effect::Once, |c| c.effect);
         let once = effect != Effect::Repeatable;
         let hint = self.board.hint();
-        let key = a.once_key.filter(|_| once).map(|key| self.book.keys.hash(class, &key));
-        let original = key.and_then(|key| self.book.keys.find(key));
-        let repeats = original.is_some();
-        // An earlier try of it may have run, here in another life or elsewhere: running it could be the second.
-        if (once && a.may_have_run) || (repeats && a.unwanted) {
-            return reply.give(Answer { outcome: Outcome::Failed(Failure::MayHaveRun), hint });
+        let give = |reply: Reply, outcome| reply.give(Answer { outcome, hint });
+        let digests = &self.book.digests;
+        let first = a
+            .key
+            .filter(|_| once)
+            .map(|key| (digests.of((class, tenant, &key)), digests.of(body.as_base64()), at.0));
+        let found = first.map_or(Found::Free, |(key, body, at)| self.book.keys.find(key, body, at));
+        let repeats = match found {
+            Found::Repeat(owner) => Some(RequestId(owner)),
+            Found::Ran => return give(reply, Outcome::Failed(Failure::MayHaveRun)),
+            Found::OtherBody => return give(reply, Outcome::Failed(Failure::OtherBody)),
+            Found::Free | Found::Full => None,
+        };
+        // An earlier try of it may have run, here in another life or elsewhere: running it could be the second. What is known
+        // here of a key is the better word.
+        let known_here = effect == Effect::ByKey && repeats.is_some();
+        if (once && a.may_have_run && !known_here) || (repeats.is_some() && a.unwanted) {
+            return give(reply, Outcome::Failed(Failure::MayHaveRun));
         }
-        let named = a.named.filter(|_| !repeats);
+        let named = a.named.filter(|_| repeats.is_none());
         if let Some((cells, (tenant, subject))) = self.cells.as_ref().zip(named) {
             if let Some(epoch) = cells.elsewhere(&tenant, subject.as_deref()) {
-                return reply.give(Answer { outcome: Outcome::Elsewhere { epoch }, hint });
+                return give(reply, Outcome::Elsewhere { epoch });
             }
         }
-        let no_room = key.is_some() && !repeats && self.book.keys.full();
-        if self.policy.is_none() || no_room || a.unwanted {
+        if self.policy.is_none() || found == Found::Full || a.unwanted {
             let stay_away = self.site.settings.max_retry_after;
-            return reply.give(Answer { outcome: Outcome::Refused { stay_away, give_up: false }, hint });
+            return give(reply, Outcome::Refused { stay_away, give_up: false });
         }
         // Nobody waits for it any more, and an age that no line here explains must not count as one: the module would
         // take the node for jammed.
-        let patience = self.site.settings.classes.get(class.0).map_or(Span(0), |c| c.deadline);
+        let patience = told.map_or(Span(0), |c| c.deadline);
+        let patience = wait.map_or(patience, |wait| wait.min(patience));
         if at + patience + self.site.settings.answer_slack < unix_now() {
-            return reply
-                .give(Answer { outcome: Outcome::Refused { stay_away: Span(0), give_up: true }, hint });
+            // Turned away, one whose effect may have come about could be taken elsewhere.
+            let refused = Outcome::Refused { stay_away: Span(0), give_up: true };
+            return give(reply, repeats.map_or(refused, |_| Outcome::Failed(Failure::MayHaveRun)));
         }
         if self.book.find(rid).is_some() {
             self.twice.log(|more| warn!(self.log, "a request id came twice"; "rid" => %rid, "more" => more));
@@ -389,24 +420,27 @@
             answered: None,
             repeats,
             unsure: false,
-            key,
+            keyed: first.is_some() && repeats.is_none(),
             counted,
         };
-        let id = self.book.enter(entry);
+        let id = self.book.enter(entry, first.filter(|_| repeats.is_none()));
+        if effect == Effect::Once {
+            self.book.keys.keep(id.0, NEVER);
+        }
         self.board.owed.fetch_add(1, Relaxed);
         let request = Request {
             id,
             class,
             tenant,
             has_key: false,
-            wait_left: None,
+            wait_left: wait,
             hint: None,
             held_kb,
             resent,
             write: once,
             caller,
             age: Span(0),
-            repeats: original,
+            repeats,
         };
         self.pending.push(Pending::Read(request, at));
     }
@@ -459,28 +493,95 @@
     }
 
     fn exit(&mut self, rid: Rid, how: RunExit) {
-        let (end, outcome) = match how {
-            RunExit::Done(body) => (RunEnd::Served, Outcome::Served(body)),
-            RunExit::Error => (RunEnd::Failed, Outcome::Failed(Failure::Run)),
-            RunExit::Stopped => (RunEnd::Stopped, Outcome::Failed(Failure::Run)),
-            RunExit::Moot => (RunEnd::Moot, Outcome::Failed(Failure::Internal)),
+        let failed = Some(End::Failed);
+        let (end, outcome, came) = match how {
+            RunExit::Done(body) => (RunEnd::Served, Outcome::Served(body.clone()), Some(End::Served(body))),
+            RunExit::Error => (RunEnd::Failed, Outcome::Failed(Failure::Run), failed),
+            RunExit::Stopped => (RunEnd::Stopped, Outcome::Failed(Failure::Run), failed),
+            RunExit::Moot => (RunEnd::Moot, Outcome::Failed(Failure::Internal), None),
         };
-        self.over(rid, end, outcome);
+        self.over(rid, end, outcome, came);
     }
 
-    /// A run is over: the answer goes out at once if it is still owed, and the module hears of it.
-    fn over(&mut self, rid: Rid, end: RunEnd, outcome: Outcome) {
+    /// A run is over: the answer goes out at once if it is still owed, also to those that joined it, and the module hears
+    /// of it. What came of it is kept under its key, if it has one; nothing came of one that certainly never ran.
+    fn over(&mut self, rid: Rid, end: RunEnd, outcome: Outcome, came: Option<End>) {
         let Some(id) = self.book.find(rid) else {
             return debug!(self.log, "end of a request that is over"; "rid" => %rid);
         };
+        let waiting = match came {
+            // One run once has no repeat that would be served.
+            Some(End::Served(_)) if self.effect(id) != Some(Effect::ByKey) => {
+                self.book.keys.end(id.0, End::Failed, 0)
+            }
+            Some(came) => {
+                let size = if let End::Served(body) = &came { body.as_base64().len() } else { 0 };
+                self.book.keys.end(id.0, came, size)
+            }
+            None => self.book.keys.never_ran(id.0),
+        };
+        self.answer(id, outcome.clone());
+        self.tell_waiting(waiting.into_iter().map(RequestId).collect(), &outcome);
+        self.remove(id);
+        self.pending.push(Pending::Other(Event::Finished(id, end)));
+    }
+
+    fn effect(&mut self, id: RequestId) -> Option<Effect> {
+        let class = self.book.get(id)?.class;
+        self.site.settings.classes.get(class.0).map(|c| c.effect)
+    }
+
+    /// Takes a request out of the book. Those that waited for one that never ran never ran either.
+    fn remove(&mut self, id: RequestId) {
+        let waiting = self.book.remove(id);
+        let stay_away = self.site.settings.max_retry_after;
+        self.tell_waiting(waiting, &Outcome::Refused { stay_away, give_up: false });
+    }
+
+    /// Answers those that joined a request which is over.
+    fn tell_waiting(&mut self, waiting: Vec<RequestId>, outcome: &Outcome) {
+        for id in waiting {
+            self.end_joined(id, outcome.clone());
+        }
+    }
+
+    fn end_joined(&mut self, id: RequestId, outcome: Outcome) {
+        let end = if matches!(outcome, Outcome::Served(_)) { RunEnd::Served } else { RunEnd::Failed };
         self.answer(id, outcome);
-        self.book.remove(id);
+        self.remove(id);
         self.pending.push(Pending::Other(Event::Finished(id, end)));
     }
 
+    /// Serves a request from the one that it repeats.
+    fn join(&mut self, id: RequestId) {
+        let Some(entry) = self.book.get(id).filter(|e| e.stage == Stage::Held) else { return };
+        let Some(original) = entry.repeats else { return };
+        entry.stage = Stage::Joined;
+        let outcome = match self.book.keys.join(id.0, original.0) {
+            Joined::Waits => return,
+            Joined::Over(End::Served(body)) => Outcome::Served(body),
+            Joined::Over(End::Failed) => Outcome::Failed(Failure::MayHaveRun),
+            Joined::NeverRan => {
+                Outcome::Refused { stay_away: self.site.settings.max_retry_after, give_up: false }
+            }
+        };
+        self.end_joined(id, outcome);
+    }
+
+    /// Nobody waits for its answer any more. What never ran is over with that; the module decides on what runs.
+    fn caller_left(&mut self, rid: Rid) {
+        let Some(id) = self.book.find(rid) else { return };
+        let Some(reply) = self.take_reply(id) else { return };
+        reply.forgo();
+        self.pending.push(Pending::Other(Event::CallerLeft(id)));
+        if self.book.get(id).is_some_and(|e| !e.ran()) {
+            self.remove(id);
+        }
+    }
+
     fn call_done(&mut self, id: RequestId, result: CallResult, took: Duration) {
         let Some(entry) = self.book.get(id) else { return };
-        let Stage::Calling(body) = &entry.stage else { return };
+        let Stage::Calling(body, pos) = &entry.stage else { return };
         let end = match result {
             CallResult::Reply(reply) => {
                 entry.stage = Stage::Running;
@@ -491,11 +592,11 @@
                 CallEnd::Good
             }
             CallResult::NeverRan => {
-                entry.stage = Stage::AtCall(body.clone());
+                entry.stage = Stage::AtCall(body.clone(), *pos);
                 CallEnd::NeverRan
             }
             CallResult::Unknown => {
-                entry.stage = Stage::AtCall(body.clone());
+                entry.stage = Stage::AtCall(body.clone(), *pos);
                 CallEnd::Failed
             }
         };
@@ -508,26 +609,33 @@
     /// Gives the answer if it is still owed.
     fn answer(&mut self, id: RequestId, outcome: Outcome) {
         let hint = self.board.hint();
-        let Some(entry) = self.book.get(id) else { return };
-        if let Some(reply) = entry.reply.take() {
-            if let Outcome::Failed(why) = &outcome {
-                let stage = entry.stage.word();
-                info!(self.log, "failed"; "rid" => %entry.rid, "class" => entry.class.0, "why" => why.word(), "at" => stage);
-            }
-            entry.answered = Some(Instant::now());
-            if let Some((fleet, key)) = self.peers.fleet.as_ref().zip(entry.counted) {
-                fleet.live.leaves(key);
-            }
-            self.board.owed.fetch_sub(1, Relaxed);
-            reply.give(Answer { outcome, hint });
+        let Some(reply) = self.take_reply(id) else { return };
+        if let (Outcome::Failed(why), Some(entry)) = (&outcome, self.book.get(id)) {
+            let (rid, class, stage) = (entry.rid, entry.class.0, entry.stage.word());
+            info!(self.log, "failed"; "rid" => %rid, "class" => class, "why" => why.word(), "at" => stage);
+        }
+        reply.give(Answer { outcome, hint });
+    }
+
+    /// The right to answer, if it is still there: from now on nothing is owed.
+    fn take_reply(&mut self, id: RequestId) -> Option<Reply> {
+        let entry = self.book.get(id)?;
+        let reply = entry.reply.take()?;
+        entry.answered = Some(Instant::now());
+        if let Some((fleet, key)) = self.peers.fleet.as_ref().zip(entry.counted) {
+            fleet.live.leaves(key);
         }
+        self.board.owed.fetch_sub(1, Relaxed);
+        Some(reply)
     }
 
     fn act(&mut self, action: Action) {
         match action {
             Action::Run(id) => self.start(id),
             Action::Stop(id) => {
-                if let Some(entry) = self.book.get(id).filter(|e| e.ran()) {
+                // One run by key goes on: its result is for the next try, which would find none otherwise.
+                let goes_on = self.effect(id) == Some(Effect::ByKey);
+                if let Some(entry) = self.book.get(id).filter(|e| e.ran() && !goes_on) {
                     // If the command is lost, the run ends by itself and its result is dropped.
                     let _ = self.peers.executor.try_send(ToExecutor::Kill(entry.rid));
                 }
@@ -545,14 +653,14 @@
             }
             Action::Fail(id) => {
                 let Some(entry) = self.book.get(id) else { return };
-                let why = if entry.repeats { Failure::MayHaveRun } else { Failure::GivenUp };
+                let why = if entry.repeats.is_some() { Failure::MayHaveRun } else { Failure::GivenUp };
                 self.end_held(id, Outcome::Failed(why));
             }
             Action::Call(id, limit) => {
                 let Some(entry) = self.book.get(id) else { return };
-                let Stage::AtCall(body) = &entry.stage else { return };
+                let Stage::AtCall(body, pos) = &entry.stage else { return };
                 let (rid, body) = (entry.rid, body.clone());
-                entry.stage = Stage::Calling(body.clone());
+                entry.stage = Stage::Calling(body.clone(), *pos);
                 let limit = Duration::from_micros(limit.0.unsigned_abs());
                 if !(self.peers.database)(Call { id, rid, body, limit }) {
                     self.call_done(id, CallResult::NeverRan, Duration::ZERO);
@@ -566,10 +674,16 @@
                 self.timers.push(Reverse(at));
             }
             Action::Log(text) => info!(self.log, "{}", text),
-            // Settings that would lead to these are turned down at the start, see `config`.
-            Action::SkipCall(_) | Action::Remember(..) | Action::Forget(_) | Action::Join(_) => {
-                warn!(self.log, "an action that no wire here carries"; "action" => ?action);
+            Action::SkipCall(id) => {
+                let Some(entry) = self.book.get(id) else { return };
+                let Stage::AtCall(_, pos) = entry.stage else { return };
+                entry.stage = Stage::Running;
+                let _ = self.peers.executor.try_send(ToExecutor::Bypass(entry.rid, pos));
             }
+            Action::Remember(id, span) => self.book.keys.keep(id.0, (unix_now() + span).0),
+            // The key of what never ran goes with it, in the same batch.
+            Action::Forget(_) => {}
+            Action::Join(id) => self.join(id),
         }
     }
 
@@ -579,6 +693,7 @@
         let exec = ToExecutor::Exec(entry.rid, name, entry.body.clone());
         if self.peers.executor.try_send(exec).is_ok() {
             entry.stage = Stage::Running;
+            self.book.keys.ran(id.0);
         } else {
             let stay_away = self.site.settings.max_retry_after;
             self.end_held(id, Outcome::Refused { stay_away, give_up: false });
@@ -590,7 +705,7 @@
     fn end_held(&mut self, id: RequestId, outcome: Outcome) {
         self.answer(id, outcome);
         if self.book.get(id).is_some_and(|e| !e.ran()) {
-            self.book.remove(id);
+            self.remove(id);
         }
     }
 }
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -67,6 +67,8 @@
     GivenUp,
     /// It may have run before, and must not run twice.
     MayHaveRun,
+    /// Its key came with another body before: one of the two is wrong, and this one never ran.
+    OtherBody,
     /// The executor would not take it, or the node lost hold of it.
     Internal,
 }
@@ -78,6 +80,7 @@
             Failure::Run => "run failed",
             Failure::GivenUp => "given up",
             Failure::MayHaveRun => "may have run",
+            Failure::OtherBody => "its key came with another body",
             Failure::Internal => "internal error",
         }
     }
@@ -128,6 +131,10 @@
             send(answer);
         }
     }
+    /// Gives it back unused: its caller has left, and is owed nothing.
+    pub fn forgo(mut self) {
+        self.0 = None;
+    }
 }
 impl Drop for Reply {
     fn drop(&mut self) {
@@ -149,6 +156,8 @@
     pub named: Option<(Box<str>, Option<Box<str>>)>,
     /// When it came to the machine.
     pub at: Time,
+    /// How long its caller waits from then on, where that is told.
+    pub wait: Option<Span>,
     /// Who sent it.
     pub caller: CallerId,
     /// Marked as a further try or a copy.
@@ -157,8 +166,9 @@
     pub held_kb: f64,
     /// Its bytes.
     pub body: Body,
-    /// What names its effect: a key that ran in this life never runs again.
-    pub once_key: Option<Box<str>>,
+    /// What names its effect over all its tries: one that ran is not run again, for its class's window or, where the
+    /// class is run once, in this life.
+    pub key: Option<Box<str>>,
     /// The front has been told that an earlier try may have run.
     pub may_have_run: bool,
     /// Read only to be handed back: it is refused unless it may have run, and never runs.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -157,6 +157,8 @@
     say: String,
     share_for: f64,
     share_span: f64,
+    passes_deadline: bool,
+    tells_gone: bool,
 }
 
 #[derive(Serialize)]
@@ -193,6 +195,10 @@
 pub struct Site {
     /// All that bears on decisions.
     pub settings: Settings,
+    /// Each request tells how long its caller waits.
+    pub passes_deadline: bool,
+    /// Callers tell when they wait no more.
+    pub tells_gone: bool,
     classes: BTreeMap<String, usize>,
     tenants: BTreeMap<String, u64>,
     gauges: Vec<String>,
@@ -207,6 +213,8 @@
     fn new(facts: &Facts) -> Site {
         Site {
             settings: settings(facts),
+            passes_deadline: facts.specifics.passes_deadline,
+            tells_gone: facts.specifics.tells_gone,
             classes: facts.lanes.iter().enumerate().map(|(i, l)| (l.name.clone(), i)).collect(),
             tenants: facts.tenants.iter().enumerate().map(|(i, t)| (t.name.clone(), i as u64)).collect(),
             gauges: facts.specifics.gauges.clone(),
