--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,7 +2,7 @@
 //! ends something. The front is stepped by the test, so that each comes exactly there; `docs/crossings.md` has the list.
 use crossbeam_channel::{bounded, Receiver};
 use mothwinch::net::jsonrpc::{Core, Events};
-use mothwinch::node::{Answer, Arrival, Limits, Msg, Outcome};
+use mothwinch::node::{Answer, Arrival, Body, Limits, Msg, Outcome};
 use mothwinch::wire::Site;
 use mothwinch::Span;
 use mothwinch_stand_ins::*;
@@ -206,6 +206,88 @@
     assert_eq!(s.answer(&mut other)["id"].as_u64(), Some(id));
 }
 
+/// A request that crosses the farewell is answered like any other; only then does the connection go.
+#[test]
+fn a_request_that_crosses_its_farewell_is_answered() {
+    // No idle time at all: the farewell follows the first answer in the same step.
+    let mut s = Stepped::new(|limits| limits.front_idle = Duration::ZERO);
+    let mut peer = s.connect();
+    peer.raw("{\"jsonrpc\":\"2.0\",\"id\":5,\"method\":\"alive\"}");
+    s.until("the answer is there", |_| has_come(&peer));
+    assert_eq!(peer.next()["id"], 5);
+    // Written before the peer has looked for the farewell, which is there already.
+    let id = peer.send("settlement-post", "serve");
+    let arrival = s.arrival();
+    assert_eq!(peer.next()["method"], "farewell");
+    Stepped::refuse(arrival);
+    assert_eq!(s.answer(&mut peer)["id"].as_u64(), Some(id));
+}
+
+/// A request is at the machine when the idle time and the time after the farewell are over: both look at what has come
+/// before they close.
+#[test]
+fn a_request_in_the_instant_of_an_idle_close_is_answered() {
+    let mut s = Stepped::new(|limits| {
+        limits.front_idle = Duration::ZERO;
+        limits.front.farewell = Duration::ZERO;
+    });
+    let mut peer = s.connect();
+    // In one piece: the second one is unread as the first is answered and the times are over.
+    let (first, one) = peer.line("statement-read", "serve", json!({}));
+    let (second, two) = peer.line("settlement-post", "serve", json!({}));
+    peer.raw(&one);
+    Stepped::refuse(s.arrival());
+    peer.raw(&two);
+    Stepped::refuse(s.arrival());
+    for id in [first, second] {
+        assert_eq!(s.answer(&mut peer)["id"].as_u64(), Some(id));
+    }
+    s.until("it is shut", |_| has_come(&peer));
+    // What comes from now on crosses the close: it is not sent on, and the peer sees the end in place of an answer.
+    peer.send("settlement-post", "late");
+    let mut rest = [0; 16];
+    assert_eq!(peer.stream.read(&mut rest).expect("an end, no reset"), 0);
+    s.until("it is read", |s| {
+        let _ = peer.stream.shutdown(Shutdown::Write);
+        s.front.connections() == 0
+    });
+    assert!(s.inbox.try_recv().is_err(), "it was sent on");
+}
+
+/// The peer has taken half of an answer when its connection is to go: the other half follows, and all that is owed behind it.
+#[test]
+fn an_answer_cut_in_the_middle_is_still_written_whole() {
+    let mut s = Stepped::new(|_| {});
+    let mut peer = s.connect();
+    let socket = socket2::SockRef::from(&peer.stream);
+    socket.set_recv_buffer_size(32 * 1024).expect("an option");
+    let ids: Vec<u64> = (0..2).map(|_| peer.send("statement-read", "serve")).collect();
+    let arrivals: Vec<Arrival> = ids.iter().map(|_| s.arrival()).collect();
+    // More than the buffers between them take, and less than may wait to be written on one connection.
+    let long = "x".repeat(256 * 1024);
+    for arrival in arrivals {
+        let outcome = Outcome::Served(Body::from_bytes(long.as_bytes()));
+        arrival.reply.give(Answer { outcome, hint: None });
+        s.front.step(Some(Duration::ZERO)).expect("a step");
+        s.front.part_all(Instant::now());
+    }
+    let read = std::thread::spawn(move || {
+        let mut answered: Vec<u64> = Vec::new();
+        loop {
+            let answer = peer.next();
+            if answer.is_null() {
+                return answered;
+            }
+            if answer["method"] != "farewell" {
+                assert_eq!(body(&answer).len(), 256 * 1024);
+                answered.push(answer["id"].as_u64().expect("an id"));
+            }
+        }
+    });
+    s.until("all is read and the peer is gone", |s| s.front.connections() == 0);
+    assert_eq!(read.join().expect("a peer"), ids);
+}
+
 /// Accepted by the machine and not by the front when the listener closes: taken in, and what it has written is read.
 #[test]
 fn who_waits_at_the_listener_as_it_closes_is_taken_in() {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -251,6 +251,63 @@
     }
 }
 
+/// Requests written just before and just behind the word, on connections that are open: all are answered, and no health
+/// check behind it is good.
+#[test]
+fn requests_in_the_instant_of_quiesce_are_all_answered() {
+    let node = with_door();
+    for round in 0..10 {
+        let mut fronts: Vec<Front> = (0..4).map(|_| node.front()).collect();
+        let mut word = TcpStream::connect(node.door()).expect("a door");
+        let before: Vec<u64> = fronts.iter_mut().map(|f| f.send("settlement-post", "serve")).collect();
+        word.write_all(b"quiesce\n").expect("written");
+        let behind: Vec<u64> = fronts.iter_mut().map(|f| f.send(READ, "serve")).collect();
+        for ((front, first), second) in fronts.iter_mut().zip(before).zip(behind) {
+            let mut answers = [front.answer(), front.answer()];
+            answers.sort_unstable_by_key(|answer| answer["id"].as_u64());
+            assert_eq!(answers.each_ref().map(|a| a["id"].as_u64()), [Some(first), Some(second)]);
+            assert_eq!(answers.each_ref().map(result), ["done serve", "done serve"], "round {round}");
+        }
+        assert_eq!(answer(word), "ok quiesced");
+        assert_eq!(node.front().alive()["result"]["ready"], false);
+        assert_eq!(call(node.door(), b"resume\n"), "ok serving");
+    }
+}
+
+/// SIGHUP to both processes in mid-replacement: each moves to its own executor's new place, what runs in either carries on, and
+/// the replacement goes on as ever.
+#[test]
+fn a_new_configuration_for_both_processes() {
+    let mut first = with_door();
+    let mut runs = first.front();
+    let run = runs.send("settlement-post", "hang:first");
+    until("it runs", || first.executor.runs("hang:first") == 1);
+    let second = first.successor();
+    taking(&second);
+    let moved = |node: &Node| {
+        let mut moved = config(node.executor.elsewhere(), node.database.address, node.list.address);
+        moved["listen"] = json!(first.address);
+        moved.to_string()
+    };
+    let (one, two) = (moved(&first), moved(&second));
+    first.reload(&one);
+    second.reload(&two);
+    until("both have moved", || [&first, &second].iter().all(|n| n.executor.joins().len() == 2));
+    first.terminate();
+    until("the old process is told", || first.log().contains("replaced"));
+    // One more while the old one leaves.
+    first.reload(&one);
+    second.reload(&two);
+    first.executor.finish("hang:first");
+    let answer = runs.answer();
+    assert_eq!((answer["id"].as_u64(), result(&answer).as_str()), (Some(run), "late result"));
+    drop(runs);
+    assert_eq!(first.exit().code(), Some(0));
+    assert_eq!(result(&second.front().ask(READ, "serve:after")), "done serve:after");
+    assert_eq!((first.executor.runs("hang:first"), second.executor.runs("hang:first")), (1, 0));
+    assert!(!second.list.heard("HB n3 OUT"));
+}
+
 /// Guards the one node's limits: two processes divide what it may have, the earlier one's part falls as the later one starts and
 /// serves, and a kill -9 of either gives back at once what it held.
 #[test]
