--- /dev/null
+++ b/examples/repeat.rs
@@ -0,0 +1,35 @@
+//! A node with a class that is run by key, among stand-ins on loopback: a request, its repeat on another connection, and the
+//! same key with another body. Build the program first: `cargo build && cargo run --example repeat`.
+#![forbid(unsafe_code)]
+
+use mothwinch_stand_ins::{unbase64, Node};
+use serde_json::{json, Value};
+
+const TOKEN: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+
+fn main() {
+    let node = Node::start_with(None, |config| {
+        let settings = &mut config["settings"];
+        settings["lanes"][1]["name"] = json!("version-submit");
+        settings["lanes"][1]["effect"] = json!("by_key");
+        settings["lanes"][1]["window"] = json!(30_000.0);
+        // What the platform books for a key: small enough for many of them.
+        settings["specifics"]["keyKb"] = json!(1.0);
+    });
+    println!("a node listens at {}", node.address);
+    for (what, body) in
+        [("first try", "serve:scan 7"), ("repeat", "serve:scan 7"), ("other body", "serve:scan 8")]
+    {
+        let mut front = node.front();
+        front.send_with("version-submit", body, json!({"token": TOKEN}));
+        println!("{what}: {}", told(&front.answer()));
+    }
+    println!("the executor ran {} of them", node.executor.all_runs());
+}
+
+fn told(answer: &Value) -> String {
+    match answer["result"]["body"].as_str() {
+        Some(body) => format!("served, {:?}", unbase64(body)),
+        None => format!("error {}, {}", answer["error"]["code"], answer["error"]["message"]),
+    }
+}
