--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -146,6 +146,69 @@
     assert_eq!(node.exit().code(), Some(0));
 }
 
+/// A repeat written in the instant in which the first one's run ends, on another connection: it joins the run or finds its
+/// result, and gets the same either way.
+#[test]
+fn a_repeat_in_the_instant_of_the_first_answer() {
+    let node = node();
+    let (mut first, mut second) = (node.front(), node.front());
+    for n in 0..20 {
+        let (name, token) = (format!("hang:{n}"), format!("{n:032x}"));
+        submit(&mut first, &name, &token);
+        until("it runs", || node.executor.runs(&name) == 1);
+        let (_, line) = second.line("version-submit", &name, json!({"token": token}));
+        node.executor.finish(&name);
+        second.raw(&line);
+        assert_eq!(body(&first.answer()), "late result");
+        assert_eq!(body(&second.answer()), "late result");
+        assert_eq!(node.executor.runs(&name), 1);
+    }
+}
+
+/// A leave crosses the end of the run that it would stop: one answer at the most, under no other number, and the place is free.
+#[test]
+fn a_leave_that_crosses_the_end_of_its_run() {
+    let mut node = node();
+    let mut front = node.front();
+    for n in 0..20 {
+        let name = format!("hang:{n}");
+        let left = front.send("statement-read", &name);
+        until("it runs", || node.executor.runs(&name) == 1);
+        // Either may be first at the node, and the stop may come after the end.
+        front.cancel(left);
+        node.executor.finish(&name);
+        let id = front.send("settlement-post", "serve");
+        let mut answer = front.answer();
+        if answer["id"].as_u64() == Some(left) {
+            answer = front.answer();
+        }
+        assert_eq!((answer["id"].as_u64(), body(&answer).as_str()), (Some(id), "done serve"));
+    }
+    node.terminate();
+    assert_eq!(node.exit().code(), Some(0));
+    assert!(node.log().contains("owed: 0"), "{}", node.log());
+}
+
+/// A leave and the end of its connection in one piece: the run by key goes on, and its next try gets the result elsewhere.
+#[test]
+fn a_leave_that_crosses_the_close_of_its_connection() {
+    let node = node();
+    for n in 0..10 {
+        let (name, token) = (format!("hang:{n}"), format!("{n:032x}"));
+        let mut gone = node.front();
+        let id = submit(&mut gone, &name, &token);
+        until("it runs", || node.executor.runs(&name) == 1);
+        gone.cancel(id);
+        drop(gone);
+        let mut next = node.front();
+        submit(&mut next, &name, &token);
+        assert_eq!(next.alive()["result"]["ready"], true);
+        node.executor.finish(&name);
+        assert_eq!(body(&next.answer()), "late result");
+        assert_eq!(node.executor.runs(&name), 1);
+    }
+}
+
 #[test]
 fn a_command_lost_with_its_link_is_not_sent_twice_and_its_repeat_fails_with_it() {
     let node = node();
