A reload keeps counts and judgements, so that no judge stops where it stands

Change: the reload keeps the old values and warns. a_reload_without_judgements_leaves_no_node_holding_back fails without it: the node never goes on in 40 s after its path is whole again.

--- a/crates/fleet-wire/src/shell.rs
+++ b/crates/fleet-wire/src/shell.rs
@@ -482,11 +482,14 @@
             }
             Word::Serve(at) => self.view.serve_at(Some(self.config.serves.unwrap_or(at)), now),
             Word::Config(config) => {
-                let fixed = |c: &Config| (c.fleet.clone(), c.site.clone(), c.listen, c.advertise, c.serves);
+                let gathers = |c: &Config| (c.counts, c.judgements);
+                let fixed = |c: &Config| {
+                    (c.fleet.clone(), c.site.clone(), c.listen, c.advertise, c.serves, gathers(c))
+                };
                 if fixed(&config) != fixed(&self.config) {
                     warn!(
                         self.log,
-                        "fleet, site and addresses of the fleet's file change with a restart only"
+                        "fleet, site, addresses, counts and judgements of the fleet's file change with a restart only"
                     );
                 }
                 self.view.set_seeds(config.seeds.clone());
@@ -497,7 +500,9 @@
                     let of = |b: &Plan| total(&b.name).unwrap_or(b.total);
                     budgets.set_totals(&self.config.budgets.iter().map(of).collect());
                 }
-                self.config = *config;
+                // A judge that stopped where it stands would leave its node holding back for good.
+                let (counts, judgements) = gathers(&self.config);
+                self.config = Config { counts, judgements, ..*config };
             }
             Word::Beside(another) => {
                 if let Some(budgets) = &mut self.budgets {
--- a/tests/gathered.rs
+++ b/tests/gathered.rs
@@ -114,6 +114,29 @@
     rig.wait("all go on", MOST, |rig| sound(rig, &all)).expect("they do");
 }
 
+/// Guards a node that holds back as its file loses `judgements`: the field changes with a restart only. Taken at the reload, the
+/// judge stopped where it stood, and the node went on holding back for good.
+#[test]
+fn a_reload_without_judgements_leaves_no_node_holding_back() {
+    let mut rig = fleet(3);
+    let all = names(0..3);
+    let _clients: Vec<Clients> = all.iter().map(|n| Clients::at(&rig, n, 3, "call:hold#5")).collect();
+    let serves = |rig: &Rig| matches!(ledger(rig, "n1"), Judgement::Sound | Judgement::Slow);
+    rig.wait("it finds the ledger sound", MOST, serves).expect("it does");
+    rig.silence(&names([1]), &["ledger".to_string()]);
+    rig.wait("it knows that the path is its own", MOST, |rig| ledger(rig, "n1") == Judgement::OnlyHere)
+        .expect("it does");
+    let file = rig.fleet_file_of("n1");
+    let text = std::fs::read_to_string(&file).expect("a file");
+    assert!(text.contains("judgements: true,"));
+    std::fs::write(&file, text.replace("judgements: true,", "")).expect("written");
+    rig.hangup("n1");
+    rig.wait("it has read the file", MOST, |rig| rig.node("n1").log().contains("with a restart only"))
+        .expect("it has");
+    rig.heal();
+    rig.wait("it goes on", MOST, |rig| serves(rig) && state(rig, "n0", "n1") == Some("up")).expect("it does");
+}
+
 /// Guards the counts: what each node has in flight of a tenant is known at all of them, though a fifth of the datagrams is
 /// lost; a dead node's counts go stale; each side of a cut counts its own; and after the healing all are counted again.
 #[test]
