--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,12 +1,12 @@
 //! The core of the node. It knows no wire: fronts hand it [`Arrival`]s, peers hand it [`Msg`]s, and it speaks to
 //! them through mailboxes.
 
-mod book;
 pub mod config;
 pub mod confinement;
 pub mod limits;
 mod module;
 mod request;
+mod request_table;
 
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, PoisonError};
--- a/src/node/module.rs
+++ b/src/node/module.rs
@@ -1,4 +1,4 @@
-//! The module's actor: it alone owns the [`Policy`], the book of requests, the kept keys, the timers and the
+//! The module's actor: it alone owns the [`Policy`], the request table, the kept keys, the timers and the
 //! answers owed. It never waits for a peer; what it sends goes into mailboxes that have room for all that the
 //! protocol lets be open, and a command that finds none counts as never sent.
 
@@ -13,8 +13,8 @@
 use mothwinch_service::PARTS;
 use slog::{debug, info, warn, Logger};
 
-use super::book::{Book, End, Entry, Stage};
 use super::request::{Answer, Arrival, Failure, Outcome, Reply, Rid};
+use super::request_table::{End, Entry, RequestTable, Stage};
 use super::{
     unix_now, Board, Call, CallResult, Confinement, Limits, Msg, Peers, RunExit, Seldom, ToExecutor,
 };
@@ -45,7 +45,7 @@
     cells: Option<Confinement>,
     log: Logger,
     policy: Option<Policy>,
-    book: Book,
+    requests: RequestTable,
     pending: Vec<Pending>,
     actions: Vec<Action>,
     timers: BinaryHeap<Reverse<Instant>>,
@@ -92,7 +92,7 @@
         // A try that lay unread for longer is refused as it is read.
         let longest = site.settings.classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
         let unread = longest + site.settings.answer_slack.0;
-        let book = Book::new(Table::new(limits.keys_bytes, limits.key_result, unread));
+        let requests = RequestTable::new(Table::new(limits.keys_bytes, limits.key_result, unread));
         let seldom = || Seldom::new(limits.log_seldom);
         let (twice, heavy, not_carried_out) = (seldom(), seldom(), seldom());
         let state = Seldom::new(limits.log_state);
@@ -110,7 +110,7 @@
             cells,
             log,
             policy: None,
-            book,
+            requests,
             pending: Vec::new(),
             actions: Vec::new(),
             timers: BinaryHeap::new(),
@@ -167,7 +167,7 @@
     fn parts_used(&self, booked_kb: f64) -> u32 {
         let set = &self.site.settings;
         let crowd = set.crowd_per_core * f64::from(set.cores);
-        let (_, running, ghosts) = self.book.counts();
+        let (_, running, ghosts) = self.requests.counts();
         let used =
             (booked_kb / set.memory_kb.max(1.0)).max((running + ghosts) as f64 / crowd.max(1.0)) * MARGIN;
         (used * f64::from(PARTS)).ceil().clamp(0.0, f64::from(PARTS)) as u32
@@ -191,7 +191,7 @@
     fn sweep(&mut self) {
         self.tell_others();
         if let Some(waiting) = &self.peers.waiting {
-            waiting(self.book.all().filter(|e| matches!(e.stage, Stage::AtCall(..))).count());
+            waiting(self.requests.all().filter(|e| matches!(e.stage, Stage::AtCall(..))).count());
         }
         let (again, over) = (self.limits.stop_again, self.limits.stop_given_up);
         let classes = &self.site.settings.classes;
@@ -201,7 +201,7 @@
             _ => Duration::ZERO,
         };
         let mut gone = Vec::new();
-        for entry in self.book.all().filter(|e| e.ran()) {
+        for entry in self.requests.all().filter(|e| e.ran()) {
             let Some(since) = entry.answered.map(|at| at.elapsed()) else { continue };
             if since < again + grace(entry.class) {
                 continue;
@@ -216,16 +216,16 @@
             warn!(self.log, "the end of a run never came"; "rid" => %rid);
             self.over(rid, RunEnd::Moot, Outcome::Failed(Failure::Internal), Some(End::Failed));
         }
-        self.book.keys.expire(unix_now().0);
-        let booked_kb = self.book.booked_kb(self.site.settings.run_factor);
+        self.requests.keys.expire(unix_now().0);
+        let booked_kb = self.requests.booked_kb(self.site.settings.run_factor);
         self.board.used.store(self.parts_used(booked_kb), Relaxed);
         self.peaks.booked_kb = self.peaks.booked_kb.max(booked_kb);
         self.state.log(|_| {
-            let (held, running, ghosts) = self.book.counts();
+            let (held, running, ghosts) = self.requests.counts();
             let peaks = std::mem::take(&mut self.peaks);
             info!(self.log, "state"; "held" => held, "running" => running, "ghosts" => ghosts,
-                "owed" => self.board.owed(), "keys" => self.book.keys.len(),
-                "keys_kb" => self.book.keys.bytes() / 1024, "timers" => self.timers.len(), "pending" => self.pending.len(),
+                "owed" => self.board.owed(), "keys" => self.requests.keys.len(),
+                "keys_kb" => self.requests.keys.bytes() / 1024, "timers" => self.timers.len(), "pending" => self.pending.len(),
                 "booked_kb" => booked_kb as u64, "most_booked_kb" => peaks.booked_kb as u64,
                 "calls" => ?self.policy.as_ref().map(Policy::calls_seen),
                 "memory_kb" => self.site.settings.memory_kb as u64, "oldest_read_ms" => peaks.age.ms() as u64);
@@ -312,12 +312,12 @@
             Msg::ExecutorUp { cold, age } => self.executor_up(cold, age),
             Msg::ExecutorDown => {
                 self.linked = false;
-                self.book.all().filter(|e| e.ran()).for_each(|e| e.unsure = true);
+                self.requests.all().filter(|e| e.ran()).for_each(|e| e.unsure = true);
             }
             Msg::Exit(rid, how) => self.exit(rid, how),
             Msg::Callout(rid, pos, body) => {
-                let Some(id) = self.book.find(rid) else { return };
-                if let Some(entry) = self.book.get(id) {
+                let Some(id) = self.requests.find(rid) else { return };
+                if let Some(entry) = self.requests.get(id) {
                     entry.unsure = false;
                     entry.stage = Stage::AtCall(body, pos);
                     self.pending.push(Pending::Other(Event::NeedsCall(id)));
@@ -363,12 +363,12 @@
         let once = effect != Effect::Repeatable;
         let hint = self.board.hint();
         let give = |reply: Reply, outcome| reply.give(Answer { outcome, hint });
-        let digests = &self.book.digests;
+        let digests = &self.requests.digests;
         let first = a
             .key
             .filter(|_| once)
             .map(|key| (digests.of((class, tenant, &key)), digests.of(body.as_base64()), at.0));
-        let found = first.map_or(Found::Free, |(key, body, at)| self.book.keys.find(key, body, at));
+        let found = first.map_or(Found::Free, |(key, body, at)| self.requests.keys.find(key, body, at));
         let repeats = match found {
             Found::Repeat(owner) => Some(RequestId(owner)),
             Found::Ran => return give(reply, Outcome::Failed(Failure::MayHaveRun)),
@@ -400,7 +400,7 @@
             let refused = Outcome::Refused { stay_away: Span(0), give_up: true };
             return give(reply, repeats.map_or(refused, |_| Outcome::Failed(Failure::MayHaveRun)));
         }
-        if self.book.find(rid).is_some() {
+        if self.requests.find(rid).is_some() {
             self.twice.log(|more| warn!(self.log, "a request id came twice"; "rid" => %rid, "more" => more));
             return reply.give(Answer { outcome: Outcome::Failed(Failure::Internal), hint });
         }
@@ -423,9 +423,9 @@
             keyed: first.is_some() && repeats.is_none(),
             counted,
         };
-        let id = self.book.enter(entry, first.filter(|_| repeats.is_none()));
+        let id = self.requests.enter(entry, first.filter(|_| repeats.is_none()));
         if effect == Effect::Once {
-            self.book.keys.keep(id.0, NEVER);
+            self.requests.keys.keep(id.0, NEVER);
         }
         self.board.owed.fetch_add(1, Relaxed);
         let request = Request {
@@ -480,8 +480,8 @@
     /// run again is sent again, which does nothing if it runs; what must run once is never sent a second time
     /// and, if its command was lost, fails at its due time.
     fn send_again(&mut self) {
-        let Module { site, book, peers, .. } = self;
-        for entry in book.all() {
+        let Module { site, requests, peers, .. } = self;
+        for entry in requests.all() {
             let unsure = std::mem::take(&mut entry.unsure);
             let class = site.settings.classes.get(entry.class.0);
             let safe = class.is_some_and(|c| c.effect == Effect::Repeatable);
@@ -506,19 +506,19 @@
     /// A run is over: the answer goes out at once if it is still owed, also to those that joined it, and the module hears
     /// of it. What came of it is kept under its key, if it has one; nothing came of one that certainly never ran.
     fn over(&mut self, rid: Rid, end: RunEnd, outcome: Outcome, came: Option<End>) {
-        let Some(id) = self.book.find(rid) else {
+        let Some(id) = self.requests.find(rid) else {
             return debug!(self.log, "end of a request that is over"; "rid" => %rid);
         };
         let waiting = match came {
             // One run once has no repeat that would be served.
             Some(End::Served(_)) if self.effect(id) != Some(Effect::ByKey) => {
-                self.book.keys.end(id.0, End::Failed, 0)
+                self.requests.keys.end(id.0, End::Failed, 0)
             }
             Some(came) => {
                 let size = if let End::Served(body) = &came { body.as_base64().len() } else { 0 };
-                self.book.keys.end(id.0, came, size)
+                self.requests.keys.end(id.0, came, size)
             }
-            None => self.book.keys.never_ran(id.0),
+            None => self.requests.keys.never_ran(id.0),
         };
         self.answer(id, outcome.clone());
         self.tell_waiting(waiting.into_iter().map(RequestId).collect(), &outcome);
@@ -527,13 +527,13 @@
     }
 
     fn effect(&mut self, id: RequestId) -> Option<Effect> {
-        let class = self.book.get(id)?.class;
+        let class = self.requests.get(id)?.class;
         self.site.settings.classes.get(class.0).map(|c| c.effect)
     }
 
-    /// Takes a request out of the book. Those that waited for one that never ran never ran either.
+    /// Takes a request out of the request table. Those that waited for one that never ran never ran either.
     fn remove(&mut self, id: RequestId) {
-        let waiting = self.book.remove(id);
+        let waiting = self.requests.remove(id);
         let stay_away = self.site.settings.max_retry_after;
         self.tell_waiting(waiting, &Outcome::Refused { stay_away, give_up: false });
     }
@@ -554,10 +554,10 @@
 
     /// Serves a request from the one that it repeats.
     fn join(&mut self, id: RequestId) {
-        let Some(entry) = self.book.get(id).filter(|e| e.stage == Stage::Held) else { return };
+        let Some(entry) = self.requests.get(id).filter(|e| e.stage == Stage::Held) else { return };
         let Some(original) = entry.repeats else { return };
         entry.stage = Stage::Joined;
-        let outcome = match self.book.keys.join(id.0, original.0) {
+        let outcome = match self.requests.keys.join(id.0, original.0) {
             Joined::Waits => return,
             Joined::Over(End::Served(body)) => Outcome::Served(body),
             Joined::Over(End::Failed) => Outcome::Failed(Failure::MayHaveRun),
@@ -570,17 +570,17 @@
 
     /// Nobody waits for its answer any more. What never ran is over with that; the module decides on what runs.
     fn caller_left(&mut self, rid: Rid) {
-        let Some(id) = self.book.find(rid) else { return };
+        let Some(id) = self.requests.find(rid) else { return };
         let Some(reply) = self.take_reply(id) else { return };
         reply.forgo();
         self.pending.push(Pending::Other(Event::CallerLeft(id)));
-        if self.book.get(id).is_some_and(|e| !e.ran()) {
+        if self.requests.get(id).is_some_and(|e| !e.ran()) {
             self.remove(id);
         }
     }
 
     fn call_done(&mut self, id: RequestId, result: CallResult, took: Duration) {
-        let Some(entry) = self.book.get(id) else { return };
+        let Some(entry) = self.requests.get(id) else { return };
         let Stage::Calling(body, pos) = &entry.stage else { return };
         let end = match result {
             CallResult::Reply(reply) => {
@@ -610,7 +610,7 @@
     fn answer(&mut self, id: RequestId, outcome: Outcome) {
         let hint = self.board.hint();
         let Some(reply) = self.take_reply(id) else { return };
-        if let (Outcome::Failed(why), Some(entry)) = (&outcome, self.book.get(id)) {
+        if let (Outcome::Failed(why), Some(entry)) = (&outcome, self.requests.get(id)) {
             let (rid, class, stage) = (entry.rid, entry.class.0, entry.stage.word());
             info!(self.log, "failed"; "rid" => %rid, "class" => class, "why" => why.word(), "at" => stage);
         }
@@ -619,7 +619,7 @@
 
     /// The right to answer, if it is still there: from now on nothing is owed.
     fn take_reply(&mut self, id: RequestId) -> Option<Reply> {
-        let entry = self.book.get(id)?;
+        let entry = self.requests.get(id)?;
         let reply = entry.reply.take()?;
         entry.answered = Some(Instant::now());
         if let Some((fleet, key)) = self.peers.fleet.as_ref().zip(entry.counted) {
@@ -635,13 +635,13 @@
             Action::Stop(id) => {
                 // One run by key goes on: its result is for the next try, which would find none otherwise.
                 let goes_on = self.effect(id) == Some(Effect::ByKey);
-                if let Some(entry) = self.book.get(id).filter(|e| e.ran() && !goes_on) {
+                if let Some(entry) = self.requests.get(id).filter(|e| e.ran() && !goes_on) {
                     // If the command is lost, the run ends by itself and its result is dropped.
                     let _ = self.peers.executor.try_send(ToExecutor::Kill(entry.rid));
                 }
             }
             Action::Refuse { id, stay_away, give_up } => {
-                let Some(entry) = self.book.get(id) else { return };
+                let Some(entry) = self.requests.get(id) else { return };
                 let class = self.site.settings.classes.get(entry.class.0);
                 let safe = class.is_some_and(|c| c.effect == Effect::Repeatable);
                 let outcome = if entry.ran() && !safe {
@@ -652,12 +652,12 @@
                 self.end_held(id, outcome);
             }
             Action::Fail(id) => {
-                let Some(entry) = self.book.get(id) else { return };
+                let Some(entry) = self.requests.get(id) else { return };
                 let why = if entry.repeats.is_some() { Failure::MayHaveRun } else { Failure::GivenUp };
                 self.end_held(id, Outcome::Failed(why));
             }
             Action::Call(id, limit) => {
-                let Some(entry) = self.book.get(id) else { return };
+                let Some(entry) = self.requests.get(id) else { return };
                 let Stage::AtCall(body, pos) = &entry.stage else { return };
                 let (rid, body) = (entry.rid, body.clone());
                 entry.stage = Stage::Calling(body.clone(), *pos);
@@ -675,12 +675,12 @@
             }
             Action::Log(text) => info!(self.log, "{}", text),
             Action::SkipCall(id) => {
-                let Some(entry) = self.book.get(id) else { return };
+                let Some(entry) = self.requests.get(id) else { return };
                 let Stage::AtCall(_, pos) = entry.stage else { return };
                 entry.stage = Stage::Running;
                 let _ = self.peers.executor.try_send(ToExecutor::Bypass(entry.rid, pos));
             }
-            Action::Remember(id, span) => self.book.keys.keep(id.0, (unix_now() + span).0),
+            Action::Remember(id, span) => self.requests.keys.keep(id.0, (unix_now() + span).0),
             // The key of what never ran goes with it, in the same batch.
             Action::Forget(_) => {}
             Action::Join(id) => self.join(id),
@@ -688,12 +688,12 @@
     }
 
     fn start(&mut self, id: RequestId) {
-        let Some(entry) = self.book.get(id).filter(|e| e.stage == Stage::Held) else { return };
+        let Some(entry) = self.requests.get(id).filter(|e| e.stage == Stage::Held) else { return };
         let name = self.site.class_name(entry.class).to_string();
         let exec = ToExecutor::Exec(entry.rid, name, entry.body.clone());
         if self.peers.executor.try_send(exec).is_ok() {
             entry.stage = Stage::Running;
-            self.book.keys.ran(id.0);
+            self.requests.keys.ran(id.0);
         } else {
             let stay_away = self.site.settings.max_retry_after;
             self.end_held(id, Outcome::Refused { stay_away, give_up: false });
@@ -701,10 +701,10 @@
         }
     }
 
-    /// Answers a request; one that never ran is over with that, one that runs stays in the book until its end.
+    /// Answers a request; one that never ran is over with that, one that runs stays in the request table until its end.
     fn end_held(&mut self, id: RequestId, outcome: Outcome) {
         self.answer(id, outcome);
-        if self.book.get(id).is_some_and(|e| !e.ran()) {
+        if self.requests.get(id).is_some_and(|e| !e.ran()) {
             self.remove(id);
         }
     }
--- a/src/node/request_table.rs
+++ b/src/node/request_table.rs
@@ -1,4 +1,4 @@
-//! The book of requests: where each stands, the right to answer it, and the keys that must not run again.
+//! The request table: where each stands, the right to answer it, and the keys that must not run again.
 
 use std::collections::hash_map::RandomState;
 use std::collections::HashMap;
@@ -79,7 +79,7 @@
     }
 }
 
-pub(super) struct Book {
+pub(super) struct RequestTable {
     entries: HashMap<RequestId, Entry>,
     by_rid: HashMap<Rid, RequestId>,
     next: u64,
@@ -87,10 +87,10 @@
     pub keys: Table<Body>,
 }
 
-impl Book {
-    pub fn new(keys: Table<Body>) -> Book {
+impl RequestTable {
+    pub fn new(keys: Table<Body>) -> RequestTable {
         let digests = Digests(RandomState::new(), RandomState::new());
-        Book { entries: HashMap::new(), by_rid: HashMap::new(), next: 1, digests, keys }
+        RequestTable { entries: HashMap::new(), by_rid: HashMap::new(), next: 1, digests, keys }
     }
 
     /// Enters a request; with the digest of its key and of its body, if it is the first to bring it, and when it arrived.
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,4 +1,4 @@
-//! The database's lanes and the book's promises, in this process and with limits of the test's own.
+//! The database's lanes and the request table's promises, in this process and with limits of the test's own.
 
 mod stand_ins;
 
