A connection that goes for a newcomer gives up its slot at once

Seen: the_silent_and_the_flooding_cost_a_front_end_nothing (tests/crowd.rs) failed beside other load and again with nothing beside it: 'Broken pipe' as a new front end sends its first request.

Ruled out: load (it failed alone), the module (the connection itself was refused: 'too many connections').

Cause: since a connection that is shut stays in the table for its peer's close, 200 ms at most. events.rs, connect: Room::make names one to go for each newcomer, which kept its slot that long, so in a crowd that never closes the spare slots ran out and true newcomers were turned away. Change: one that goes for a newcomer does not wait for its peer unless it was written to within that time (Session::hurry), and Room::make names as many of those that wait as are too many. The router likewise.

--- a/crates/connections/src/room.rs
+++ b/crates/connections/src/room.rs
@@ -56,10 +56,13 @@
         // A front end sends as soon as it has connected, so one that has been silent for a while is none. One that has
         // only just come may be: in a crowd that begins requests and never ends them it would always go first.
         let mute = |used: &Instant| now.saturating_duration_since(*used) > bounds.mute;
-        if open + bounds.spare >= bounds.connections {
+        let short = (open + bounds.spare + 1).saturating_sub(bounds.connections);
+        if short > 0 {
             let longest = self.silent.first().into_iter().chain(self.idle.first()).min();
-            let first =
-                self.leaving.first().or(self.silent.first().filter(|(used, _)| mute(used))).or(longest);
+            let other = self.silent.first().filter(|(used, _)| mute(used)).or(longest);
+            // As many of those told to go as are too many: one that waits for its peer still takes its slot.
+            let leaving = self.leaving.iter().take(short);
+            let first = leaving.chain(other.filter(|_| self.leaving.is_empty()));
             go.extend(first.map(|(_, number)| (*number, Go::Part)));
         }
         let most = (self.silent.len() + self.idle.len()).saturating_sub(bounds.unused);
--- a/crates/connections/src/session.rs
+++ b/crates/connections/src/session.rs
@@ -58,6 +58,10 @@
     /// Since when its writing side is shut, and the bytes passed over since.
     lingering: Option<Instant>,
     passed_over: usize,
+    /// It is closed without waiting for its peer.
+    hurried: bool,
+    /// When bytes were written last.
+    wrote: Option<Instant>,
     used: Instant,
     /// What has come; looked at up to `taken`, and without an end of line up to `searched`.
     input: Vec<u8>,
@@ -89,6 +93,8 @@
             end_of_input: false,
             lingering: None,
             passed_over: 0,
+            hurried: false,
+            wrote: None,
             used: now,
             input: Vec::new(),
             taken: 0,
@@ -216,7 +222,7 @@
     /// So much of it was taken.
     pub fn sent(&mut self, bytes: usize, now: Instant) {
         self.written += bytes;
-        self.stuck = Some(now);
+        (self.stuck, self.wrote, self.hurried) = (Some(now), Some(now), false);
         if self.written >= self.output.len() {
             (self.output, self.written, self.stuck) = (Vec::new(), 0, None);
         }
@@ -235,6 +241,11 @@
     pub fn part(&mut self) {
         self.parting = true;
     }
+    /// Its slot is wanted: where it goes, it does not wait for its peer, unless something was written so lately that a
+    /// reset could still take it away.
+    pub fn hurry(&mut self, bounds: &Bounds, now: Instant) {
+        self.hurried = self.wrote.is_none_or(|at| now.saturating_duration_since(at) >= bounds.linger);
+    }
     /// Closes it whatever is open, but for what is to be written: the peer has broken the protocol.
     pub fn close(&mut self, now: Instant) {
         self.closed = true;
@@ -249,7 +260,7 @@
     }
     /// It can be closed: its peer has ended its side as well, or has sent on for too long after it was told.
     pub fn over(&self, bounds: &Bounds) -> bool {
-        self.done() && (self.end_of_input || self.passed_over > bounds.linger_bytes)
+        self.done() && (self.end_of_input || self.hurried || self.passed_over > bounds.linger_bytes)
     }
     /// Whether its writing side is to be shut now; true once. From then on what comes is passed over.
     pub fn shuts(&mut self, now: Instant) -> bool {
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -286,7 +286,12 @@
     fn connect_client(&mut self, mut stream: TcpStream, now: Instant) -> io::Result<()> {
         for (number, go) in self.room.make(self.clients.len(), &self.bounds, now) {
             match go {
-                Go::Part => self.part(number, now),
+                Go::Part => {
+                    if let Some(c) = self.clients.get_mut(&number) {
+                        c.session.hurry(&self.bounds, now);
+                    }
+                    self.part(number, now);
+                }
                 Go::Farewell => self.farewell(number, now),
             }
         }
--- a/src/net/jsonrpc/events.rs
+++ b/src/net/jsonrpc/events.rs
@@ -237,7 +237,12 @@
         self.look_at_parts();
         for (number, go) in self.room.make(self.connections.len(), &self.limits.front, now) {
             match go {
-                Go::Part => self.part(number, now),
+                Go::Part => {
+                    if let Some(c) = self.connections.get_mut(&number) {
+                        c.session.hurry(&self.limits.front, now);
+                    }
+                    self.part(number, now);
+                }
                 Go::Farewell => self.farewell(number, now),
             }
         }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -164,6 +164,27 @@
     assert!(begun.elapsed() < Duration::from_secs(3), "{:?}", begun.elapsed());
 }
 
+/// Slots run short among peers that never close: each newcomer gets one at once, though those who go would wait for their
+/// peers. One whose answer was just written keeps its time, so that no reset takes it away.
+#[test]
+fn newcomers_find_room_among_peers_that_never_close() {
+    let mut s = Stepped::new(|limits| {
+        limits.front.set_connections(40);
+        limits.front.linger = Duration::from_secs(60);
+        limits.front.mute = Duration::ZERO;
+    });
+    let mut crowd: Vec<Front> = Vec::new();
+    for _ in 0..120 {
+        let mut newcomer = Front::connect(s.at);
+        let id = newcomer.send("statement-read", "serve");
+        Stepped::refuse(s.arrival());
+        assert_eq!(s.answer(&mut newcomer)["id"].as_u64(), Some(id));
+        // It stays, and so do two beside it that say nothing.
+        crowd.push(newcomer);
+        crowd.extend((0..2).map(|_| Front::connect(s.at)));
+    }
+}
+
 /// A peer that is shut and stays silent goes when its time is over.
 #[test]
 fn one_that_never_closes_is_cut_in_time() {
