A test of a process that is not up waits for its log line

The program logs before it says that it is up; the test reads the log by a thread, which may be behind the door's answer. It waits for the line now, and checks all that it did.

--- a/tests/service.rs
+++ b/tests/service.rs
@@ -101,6 +101,8 @@
     assert!(node.logged("listening").is_none(), "it takes no clients yet");
     link.write_all(b"{\"action\":\"WELCOME\",\"code\":\"WARM\",\"wall_ms\":5}\n").expect("written");
     until("it is up", || call(door, b"health\n") == "ok quiesced");
+    // Its log is read by a thread of the test's, which may be behind the door's answer.
+    until("the log tells where it listens", || node.logged("listening").is_some());
     let address = node.logged("listening").expect("it listens");
     assert_eq!(Front::connect(address).alive()["result"]["ready"], false);
     assert_eq!(call(door, b"resume\n"), "ok serving");
