--- a/tests/service.rs
+++ b/tests/service.rs
@@ -345,7 +345,9 @@
     taking(&third);
     // Two live: another one waits until there is room, and takes clients then.
     let fourth = first.successor();
-    until("its executor is up", || fourth.log().contains("executor up"));
+    until("its executor is up, and there is a door", || {
+        fourth.log().contains("executor up") && fourth.logged("door").is_some()
+    });
     assert_eq!(call(fourth.door(), b"health\n"), "fail starting");
     first.kill();
     taking(&fourth);
