--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -483,6 +483,7 @@
 struct Received {
     answers: HashMap<i64, Vec<Answer>>,
     has_ended: bool,
+    has_farewell: bool,
 }
 
 /// A connection of a front end. Its answers are read by a thread.
@@ -508,6 +509,9 @@
         thread::spawn(move || {
             for line in BufReader::new(stream).lines().map_while(Result::ok) {
                 record.line(&format!("{name}: read {line}"));
+                if line.contains("\"farewell\"") {
+                    received.lock().unwrap().has_farewell = true;
+                }
                 if let Some(id) = number_field(&line, "id") {
                     let answer = Answer {
                         line,
@@ -536,6 +540,10 @@
         received.answers.get(&id).cloned().unwrap_or_default()
     }
 
+    pub fn has_farewell(&self) -> bool {
+        self.received.lock().unwrap().has_farewell
+    }
+
     pub fn has_ended(&self) -> bool {
         self.received.lock().unwrap().has_ended
     }
