Review, case 2: repeats from a queue run again after a planned replacement

A node that consumes keyed requests from a queue is replaced by the platform's steps. Clients that had stopped waiting publish four of twelve requests again, with the same message_id: all four run a second time within their window.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # the disruption out. Needs the build of deploy/balancer.toml and review/build.sh.
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
-program="$root/target/review/router_drain"
+program="$root/target/review/foreign_cancel"
 if [ ! -x "$program" ] || [ ! -x "$root/target/release/protocol-gateway" ]; then
     echo "not built: run the build of deploy/balancer.toml and review/build.sh first" >&2
     exit 2
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for case in routed_retry foreign_cancel router_drain; do
+for case in routed_retry replaced_consumer foreign_cancel; do
     rustc --edition 2021 -O -o "target/review/$case" "review/standins/$case.rs"
 done
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -180,17 +180,35 @@
     pub address: SocketAddr,
     state: Arc<Mutex<ExecutorState>>,
     machine: Machine,
+    /// Work of requests that came from a queue, whose ids are the node's own; `None` if there is no
+    /// queue. Their runs have the body as key.
+    queue_work_ms: Option<u64>,
     record: Record,
 }
 
 impl Executor {
+    /// Starts the executor of a node that also consumes from queues.
+    pub fn start_for_queues(name: &str, work_ms: u64, record: &Record) -> Executor {
+        Executor::start_with(name, Machine::default(), Some(work_ms), record)
+    }
+
     pub fn start(name: &str, machine: Machine, record: &Record) -> Executor {
+        Executor::start_with(name, machine, None, record)
+    }
+
+    fn start_with(
+        name: &str,
+        machine: Machine,
+        queue_work_ms: Option<u64>,
+        record: &Record,
+    ) -> Executor {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let executor = Executor {
             name: name.into(),
             address: listener.local_addr().unwrap(),
             state: Arc::default(),
             machine,
+            queue_work_ms,
             record: record.clone(),
         };
         let served = executor.clone();
@@ -269,6 +287,7 @@
             text_field(line, "lane") == Some(&request.class)
                 && text_field(line, "content") == Some(&request.body)
         });
+        let known = known.or_else(|| self.request_of_queue(line));
         let mut state = self.state.lock().unwrap();
         let Some(request) = known else {
             let bad = format!("{{\"action\":\"BAD\",\"code\":\"EXEC\",\"uid\":\"{uid}\"}}\n");
@@ -297,6 +316,16 @@
         thread::spawn(move || executor.work(&uid, request.work_ms));
     }
 
+    fn request_of_queue(&self, line: &str) -> Option<KnownRequest> {
+        let body = text_field(line, "content")?.to_string();
+        Some(KnownRequest {
+            class: text_field(line, "lane")?.to_string(),
+            work_ms: self.queue_work_ms?,
+            key: body.clone(),
+            body,
+        })
+    }
+
     fn work(&self, uid: &str, work_ms: u64) {
         let began = Instant::now();
         let mut code = "OK";
