Log which arrival a cancellation belongs to and which request it reaches

The log had no line on a cancellation, and a request's uid, which clients choose, can't tell two requests with the same one apart.

Change: the node gives each arrival an id of its own (ArrivalId), which no peer sees. The line "request cancelled" (at most one an interval, as clients cause it) has the uid, the arrival that was cancelled, the arrival that the open request came with, and its stage; "duplicate request id" has the arrival. What the node does is unchanged.

--- a/src/amqp/broker/session.rs
+++ b/src/amqp/broker/session.rs
@@ -15,7 +15,9 @@
 use super::connection::{Connection, CONNECTION_CHANNEL};
 use super::error::BrokerError;
 use super::{BrokerActor, BrokerMessage, DeliveryAnswer};
-use crate::node::{steady_now, Arrival, CellKey, Payload, PolicyMessage, RequestUid, Responder};
+use crate::node::{
+    steady_now, Arrival, ArrivalId, CellKey, Payload, PolicyMessage, RequestUid, Responder,
+};
 use crate::CallerId;
 
 /// The first caller id of queues. The caller ids of JSON-RPC clients are small numbers.
@@ -253,6 +255,7 @@
         let tenant = queue.tenant.as_deref();
         let caller = FIRST_CALLER_ID + (self.number << QUEUE_BITS) + queue_index as u64;
         let arrival = Arrival {
+            id: ArrivalId::next(),
             uid,
             class: queue.class,
             tenant: tenant.map(|name| self.shared.site.tenant(name)),
--- a/src/net/jsonrpc/request.rs
+++ b/src/net/jsonrpc/request.rs
@@ -5,7 +5,7 @@
 use clock::UnixTime;
 use serde::Deserialize;
 
-use crate::node::{arrival_time, Arrival, CellKey, Payload, RequestUid, Responder};
+use crate::node::{arrival_time, Arrival, ArrivalId, CellKey, Payload, RequestUid, Responder};
 use crate::wire::Site;
 use crate::{CallerId, ClassId, Idempotency, Span};
 
@@ -55,6 +55,7 @@
         let tenant_name = self.tenant.filter(|name| !name.is_empty());
         let budget = self.budget_ms.filter(|_| site.passes_deadline);
         Arrival {
+            id: ArrivalId::next(),
             uid: RequestUid::parse(&self.request_uid).unwrap_or(RequestUid::from_number(0)),
             class,
             tenant: tenant_name.as_deref().map(|name| site.tenant(name)),
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -7,7 +7,7 @@
 use policy::RequestId;
 
 use super::held_work::{HeldWork, RemainingWork};
-use super::request::{Arrival, Payload, RequestUid};
+use super::request::{Arrival, ArrivalId, Payload, RequestUid};
 
 /// A message to the mailbox of the policy actor.
 pub enum PolicyMessage {
@@ -48,8 +48,13 @@
     },
     /// The executor rejected the command to run this request.
     RunRejected(RequestUid),
-    /// The caller of this request has disconnected and no longer waits for the answer.
-    CallerDisconnected(RequestUid),
+    /// The caller of a request has stopped waiting for its answer.
+    CallerStoppedWaiting {
+        /// The request.
+        uid: RequestUid,
+        /// The arrival of the request.
+        arrival: ArrivalId,
+    },
     /// A database call has ended.
     CallEnded {
         /// The request that the call was made for.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -27,7 +27,9 @@
 pub use peers::{FleetCounters, Peers};
 pub use policy_actor::{PolicyActor, PolicyConfig};
 pub use rate_limited_log::RateLimitedLog;
-pub use request::{Answer, Arrival, CellKey, Failure, Outcome, Payload, RequestUid, Responder};
+pub use request::{
+    Answer, Arrival, ArrivalId, CellKey, Failure, Outcome, Payload, RequestUid, Responder,
+};
 pub use status::NodeStatus;
 
 /// Returns the longest deadline of the site's classes, or zero if the site has no classes.
--- a/src/node/policy_actor/answers.rs
+++ b/src/node/policy_actor/answers.rs
@@ -8,7 +8,7 @@
 
 use super::PolicyActor;
 use crate::node::request_table::{RequestStage, RunResult};
-use crate::node::{Answer, Failure, Outcome, RequestUid, Responder};
+use crate::node::{Answer, ArrivalId, Failure, Outcome, RequestUid, Responder};
 
 impl PolicyActor {
     /// Sends an answer with the present capacity hint.
@@ -51,12 +51,13 @@
         self.remove_unless_sent(id);
     }
 
-    /// Discards the responder of a request whose caller has disconnected. The policy decides
+    /// Discards the responder of a request whose caller has stopped waiting. The policy decides
     /// whether the run continues.
-    pub(super) fn caller_disconnected(&mut self, uid: RequestUid) {
+    pub(super) fn caller_stopped_waiting(&mut self, uid: RequestUid, arrival: ArrivalId) {
         let Some(id) = self.requests.find(uid) else {
             return;
         };
+        self.log_cancellation(id, arrival);
         let Some(responder) = self.take_responder(id) else {
             return;
         };
@@ -65,6 +66,15 @@
         self.remove_unless_sent(id);
     }
 
+    fn log_cancellation(&mut self, id: RequestId, arrival: ArrivalId) {
+        if let Some(entry) = self.requests.get_mut(id) {
+            self.rate_limited.cancellation.log(|suppressed| {
+                info!(self.log, "request cancelled"; "uid" => %entry.uid, "arrival" => %arrival,
+                    "open_arrival" => %entry.arrival, "stage" => entry.stage.name(), "suppressed" => suppressed);
+            });
+        }
+    }
+
     fn remove_unless_sent(&mut self, id: RequestId) {
         if self.requests.get_mut(id).is_some_and(|e| !e.was_sent()) {
             self.remove(id);
--- a/src/node/policy_actor/arrivals.rs
+++ b/src/node/policy_actor/arrivals.rs
@@ -91,7 +91,8 @@
         }
         if self.requests.find(arrival.uid).is_some() {
             self.rate_limited.duplicate_uid.log(|suppressed| {
-                warn!(self.log, "duplicate request id"; "uid" => %arrival.uid, "suppressed" => suppressed);
+                warn!(self.log, "duplicate request id"; "uid" => %arrival.uid, "arrival" => %arrival.id,
+                    "suppressed" => suppressed);
             });
             return Err(Outcome::Failed(Failure::Internal));
         }
@@ -151,6 +152,7 @@
         let request = policy_request(&arrival, idempotency, repeats);
         let entry = RequestEntry {
             uid: arrival.uid,
+            arrival: arrival.id,
             class: arrival.class,
             payload: arrival.payload,
             queued_kb: arrival.queued_kb,
--- a/src/node/policy_actor/mod.rs
+++ b/src/node/policy_actor/mod.rs
@@ -117,6 +117,7 @@
 
 /// Log lines that peers can cause at any rate.
 struct RateLimitedLogs {
+    cancellation: RateLimitedLog,
     duplicate_uid: RateLimitedLog,
     fleet_limit_rejections: RateLimitedLog,
     rejected_run: RateLimitedLog,
@@ -153,6 +154,7 @@
             Micros(max_queue_time(&site).0),
         );
         let rate_limited = RateLimitedLogs {
+            cancellation: RateLimitedLog::new(limits.repeated_log_interval),
             duplicate_uid: RateLimitedLog::new(limits.repeated_log_interval),
             fleet_limit_rejections: RateLimitedLog::new(limits.repeated_log_interval),
             rejected_run: RateLimitedLog::new(limits.repeated_log_interval),
@@ -232,7 +234,9 @@
             } => self.call_requested(uid, notice, payload),
             PolicyMessage::GaugesRead { tag, values } => self.gauges_read(tag, &values),
             PolicyMessage::RunRejected(uid) => self.run_rejected(uid),
-            PolicyMessage::CallerDisconnected(uid) => self.caller_disconnected(uid),
+            PolicyMessage::CallerStoppedWaiting { uid, arrival } => {
+                self.caller_stopped_waiting(uid, arrival);
+            }
             PolicyMessage::CallEnded {
                 id,
                 result,
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -1,6 +1,7 @@
 //! A request and its single answer, as the core of the node handles them.
 
 use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
@@ -40,6 +41,28 @@
     }
 }
 
+/// Identifies one arrival of a request within this process.
+///
+/// The node assigns it and sends it to no peer. A [`RequestUid`] is chosen by the sender, so several
+/// clients may send the same one; an arrival id belongs to the one connection that the request was
+/// read from.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub struct ArrivalId(u64);
+
+impl ArrivalId {
+    /// Returns an id that no other arrival in this process has.
+    pub fn next() -> ArrivalId {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        ArrivalId(NEXT.fetch_add(1, Relaxed))
+    }
+}
+
+impl fmt::Display for ArrivalId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// The bytes of a request, a result, a call or a reply.
 ///
 /// The core does not interpret them. They are kept in base64, as most peers send and expect them,
@@ -183,6 +206,8 @@
 
 /// A request that a client has sent.
 pub struct Arrival {
+    /// Identifies this arrival.
+    pub id: ArrivalId,
     /// The id that peers use for the request.
     pub uid: RequestUid,
     /// The class of the request.
--- a/src/node/request_table.rs
+++ b/src/node/request_table.rs
@@ -10,7 +10,7 @@
 use policy::{ClassId, RequestId, Time};
 
 use super::messages::ExecutorCommand;
-use super::request::{Payload, RequestUid, Responder};
+use super::request::{ArrivalId, Payload, RequestUid, Responder};
 use super::run_delivery::{RunDelivery, RunNumber};
 
 /// The stage of a request at the executor and the database.
@@ -63,6 +63,7 @@
 /// A request that has not ended.
 pub(super) struct RequestEntry {
     pub(super) uid: RequestUid,
+    pub(super) arrival: ArrivalId,
     pub(super) class: ClassId,
     pub(super) payload: Payload,
     /// Kilobytes that the platform counts for the request while it is queued.
