A cancellation ends the request of its own arrival, not another's with the same rid

A duplicate without a cancellation leaves the open request as it is, so neither the duplicate's entry nor the policy is at fault.

Change: the message carries the ArrivalId, which the node assigns and no peer sees; the connection that the request was read from keeps it, and the request table finds a request by it. A connection so can name only what was read from it, whatever the rid. A cancellation of a duplicate finds nothing, as the duplicate was never entered.

--- a/src/net/jsonrpc/handler.rs
+++ b/src/net/jsonrpc/handler.rs
@@ -16,7 +16,7 @@
 use super::mailbox::{Mailbox, ServerCommand};
 use super::message::{parse_line, ClassifiedRequest};
 use super::server_loop::NodeContext;
-use crate::node::{Arrival, ArrivalId, PolicyMessage, RateLimitedLog, RequestUid, Responder};
+use crate::node::{Arrival, ArrivalId, PolicyMessage, RateLimitedLog, Responder};
 
 /// The JSON-RPC handler of the client listener.
 pub(super) struct RequestHandler {
@@ -28,15 +28,9 @@
     pub(super) rate_limited_log: RateLimitedLog,
 }
 
-/// An open request, as the node identifies it.
-pub(super) struct OpenRequest {
-    uid: RequestUid,
-    arrival: ArrivalId,
-}
-
 /// Open requests of a connection by the id that the client gave them. Only kept at sites whose
 /// clients report when they stop waiting.
-type OpenRequests = HashMap<u64, OpenRequest>;
+type OpenRequests = HashMap<u64, ArrivalId>;
 
 impl ClientHandler for RequestHandler {
     type ConnectionData = OpenRequests;
@@ -77,11 +71,7 @@
         let arrival: Arrival = request.params.into_arrival(request.class, site, responder);
         if site.callers_report_stopped_waiting {
             if let Some(open_requests) = clients.connection_data(handle.connection) {
-                let open_request = OpenRequest {
-                    uid: arrival.uid,
-                    arrival: arrival.id,
-                };
-                open_requests.insert(handle.id, open_request);
+                open_requests.insert(handle.id, arrival.id);
             }
         }
         // Fails only if the policy's thread has terminated, and then the node terminates as well.
@@ -98,14 +88,14 @@
         now: Instant,
     ) {
         // The request has been answered, or there was none with this id.
-        let Some(OpenRequest { uid, arrival }) = remove_open_request(clients, handle) else {
+        let Some(arrival) = remove_open_request(clients, handle) else {
             return;
         };
         clients.abandon_request(handle, now);
         let _ = self
             .context
             .policy
-            .send(PolicyMessage::CallerStoppedWaiting { uid, arrival });
+            .send(PolicyMessage::CallerStoppedWaiting(arrival));
     }
 
     fn before_turns(&mut self, clients: &mut ClientListener<Self>, now: Instant) {
@@ -152,7 +142,7 @@
 fn remove_open_request(
     clients: &mut ClientListener<RequestHandler>,
     handle: RequestHandle,
-) -> Option<OpenRequest> {
+) -> Option<ArrivalId> {
     clients
         .connection_data(handle.connection)?
         .remove(&handle.id)
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -48,13 +48,8 @@
     },
     /// The executor rejected the command to run this request.
     RunRejected(RequestUid),
-    /// The caller of a request has stopped waiting for its answer.
-    CallerStoppedWaiting {
-        /// The request.
-        uid: RequestUid,
-        /// The arrival of the request.
-        arrival: ArrivalId,
-    },
+    /// The caller of the request with this arrival has stopped waiting for its answer.
+    CallerStoppedWaiting(ArrivalId),
     /// A database call has ended.
     CallEnded {
         /// The request that the call was made for.
--- a/src/node/policy_actor/answers.rs
+++ b/src/node/policy_actor/answers.rs
@@ -8,7 +8,7 @@
 
 use super::PolicyActor;
 use crate::node::request_table::{RequestStage, RunResult};
-use crate::node::{Answer, ArrivalId, Failure, Outcome, RequestUid, Responder};
+use crate::node::{Answer, ArrivalId, Failure, Outcome, Responder};
 
 impl PolicyActor {
     /// Sends an answer with the present capacity hint.
@@ -53,11 +53,11 @@
 
     /// Discards the responder of a request whose caller has stopped waiting. The policy decides
     /// whether the run continues.
-    pub(super) fn caller_stopped_waiting(&mut self, uid: RequestUid, arrival: ArrivalId) {
-        let Some(id) = self.requests.find(uid) else {
+    pub(super) fn caller_stopped_waiting(&mut self, arrival: ArrivalId) {
+        let Some(id) = self.requests.find_arrival(arrival) else {
             return;
         };
-        self.log_cancellation(id, arrival);
+        self.log_cancellation(id);
         let Some(responder) = self.take_responder(id) else {
             return;
         };
@@ -66,11 +66,11 @@
         self.remove_unless_sent(id);
     }
 
-    fn log_cancellation(&mut self, id: RequestId, arrival: ArrivalId) {
+    fn log_cancellation(&mut self, id: RequestId) {
         if let Some(entry) = self.requests.get_mut(id) {
             self.rate_limited.cancellation.log(|suppressed| {
-                info!(self.log, "request cancelled"; "uid" => %entry.uid, "arrival" => %arrival,
-                    "open_arrival" => %entry.arrival, "stage" => entry.stage.name(), "suppressed" => suppressed);
+                info!(self.log, "request cancelled"; "uid" => %entry.uid, "arrival" => %entry.arrival,
+                    "stage" => entry.stage.name(), "suppressed" => suppressed);
             });
         }
     }
--- a/src/node/policy_actor/mod.rs
+++ b/src/node/policy_actor/mod.rs
@@ -234,9 +234,7 @@
             } => self.call_requested(uid, notice, payload),
             PolicyMessage::GaugesRead { tag, values } => self.gauges_read(tag, &values),
             PolicyMessage::RunRejected(uid) => self.run_rejected(uid),
-            PolicyMessage::CallerStoppedWaiting { uid, arrival } => {
-                self.caller_stopped_waiting(uid, arrival);
-            }
+            PolicyMessage::CallerStoppedWaiting(arrival) => self.caller_stopped_waiting(arrival),
             PolicyMessage::CallEnded {
                 id,
                 result,
--- a/src/node/request_table.rs
+++ b/src/node/request_table.rs
@@ -151,6 +151,7 @@
 pub(super) struct RequestTable {
     entries: HashMap<RequestId, RequestEntry>,
     by_uid: HashMap<RequestUid, RequestId>,
+    by_arrival: HashMap<ArrivalId, RequestId>,
     next_id: u64,
     pub(super) digests: Digests,
     pub(super) keys: KeyTable<Payload>,
@@ -161,6 +162,7 @@
         RequestTable {
             entries: HashMap::new(),
             by_uid: HashMap::new(),
+            by_arrival: HashMap::new(),
             next_id: 1,
             digests: Digests::new(),
             keys,
@@ -180,6 +182,7 @@
             );
         }
         self.by_uid.insert(entry.uid, id);
+        self.by_arrival.insert(entry.arrival, id);
         self.entries.insert(id, entry);
         id
     }
@@ -191,6 +194,7 @@
             return Vec::new();
         };
         self.by_uid.remove(&entry.uid);
+        self.by_arrival.remove(&entry.arrival);
         if entry.repeats.is_some() {
             self.keys.cancel_wait(id.0);
         }
@@ -201,10 +205,16 @@
         joined.into_iter().map(RequestId).collect()
     }
 
+    /// Returns the request that the executor knows by this id.
     pub(super) fn find(&self, uid: RequestUid) -> Option<RequestId> {
         self.by_uid.get(&uid).copied()
     }
 
+    /// Returns the request with this arrival.
+    pub(super) fn find_arrival(&self, arrival: ArrivalId) -> Option<RequestId> {
+        self.by_arrival.get(&arrival).copied()
+    }
+
     pub(super) fn get_mut(&mut self, id: RequestId) -> Option<&mut RequestEntry> {
         self.entries.get_mut(&id)
     }
--- a/tests/cancellation.rs
+++ b/tests/cancellation.rs
@@ -5,9 +5,11 @@
 #[path = "common/keyed_node.rs"]
 mod keyed_node;
 
-use answers::result_body;
+use std::io::Write;
+
+use answers::{assert_failed, result_body};
 use keyed_node::{start_keyed_node, submit, TOKEN};
-use serde_json::json;
+use serde_json::{json, Value};
 use test_doubles::*;
 
 #[test]
@@ -150,3 +152,67 @@
         assert_eq!(node.executor.run_count(&name), 1);
     }
 }
+
+/// Guards against a request left without an answer: a client sent a request with the id of another
+/// client's open request and cancelled its own, which cancelled the other's (`review/3`).
+#[test]
+fn cancellation_of_a_duplicate_id_leaves_the_open_request_of_another_client() {
+    let node = start_keyed_node();
+    for (class, fields) in [
+        ("statement-read", json!({})),
+        ("version-submit", json!({"token": TOKEN})),
+    ] {
+        let name = format!("hang:{class}");
+        let (mut owner, mut other) = (node.connect(), node.connect());
+        let (id, line) = owner.format_request(class, &name, &fields);
+        let uid = request_uid(&line);
+        owner.send_line(&line);
+        wait_until("the run has started", || {
+            node.executor.run_count(&name) == 1
+        });
+        // The duplicate alone fails, and the open request is not affected.
+        let (duplicate, line) =
+            other.format_request("statement-read", "serve", &json!({"rid": uid}));
+        other.send_line(&line);
+        let answer = other.read_answer();
+        assert_eq!(answer["id"].as_u64(), Some(duplicate));
+        assert_failed(&answer);
+        cancel_duplicate(&mut other, &uid);
+        // The owner's own connection may send a duplicate as well.
+        cancel_duplicate(&mut owner, &uid);
+        assert_eq!(node.executor.kill_count(), 0, "{class}");
+        node.executor.finish_run(&name);
+        let answer = owner.read_answer();
+        assert_eq!(
+            (answer["id"].as_u64(), result_body(&answer).as_str()),
+            (Some(id), "late result")
+        );
+    }
+}
+
+/// Sends a request with this id and its cancellation in one write, so that the node reads both before
+/// it can answer the request, and returns once the policy has read both.
+fn cancel_duplicate(client: &mut TestClient, uid: &str) {
+    let (id, line) = client.format_request("statement-read", "serve", &json!({"rid": uid}));
+    let cancel = json!({"jsonrpc": "2.0", "method": "cancelRequest", "params": {"id": id}});
+    let lines = format!("{line}\n{cancel}\n");
+    client
+        .stream
+        .write_all(lines.as_bytes())
+        .expect("the write succeeds");
+    let last = client.send("statement-read", "serve");
+    let answer = client.read_answer();
+    assert_eq!(
+        (answer["id"].as_u64(), result_body(&answer).as_str()),
+        (Some(last), "done serve")
+    );
+}
+
+/// Returns the id that peers use for the request in this line.
+fn request_uid(line: &str) -> String {
+    let request: Value = serde_json::from_str(line).expect("the line is JSON");
+    request["params"]["rid"]
+        .as_str()
+        .expect("the request has an id")
+        .to_string()
+}
