A run keeps its calls and is not stopped as long as a joined request waits for it

Seen: two clients send the same keyed request, the second joins the first one's run. The first cancels, or is answered at its deadline; the run's next database call is then never made, and the second is answered 'may have run' at its deadline. One final answer, so no rule is broken; service is lost.

Evidence: the new process tests on the code before: 'request failed, stage: joined, reason: may have run', 'abandoned: 1' while a caller waits, no call at the database.

Change: the policy counts a run's unanswered duplicates; a run is abandoned once neither its caller nor any of them waits. Its calls time out by the latest of their deadlines. A failed call that must not be repeated moves the run's next call to a time that does not come, where it relied on the first request being answered.

Tests: of the process, run_of_a_cancelled_request_makes_its_call_for_a_request_that_has_joined and run_of_a_cancelled_request_is_not_stopped_while_a_joined_request_waits; of the policy, a_run_gets_its_call_as_long_as_a_duplicate_waits_for_it and a_run_is_stopped_once_neither_its_caller_nor_a_duplicate_waits. Each failed without its part of the change. a_call_that_may_have_taken_effect_is_not_retried_for_a_duplicate holds before and after.

Changed check: the checker of tests/invariants.rs took a run that waits to call for ended as soon as its own request was answered, so that any later call was an error. A call for a joined request is allowed now. In its place a call that nobody waits for is the error, and answered runs that wait to call count towards memory and concurrency, as they do on the machine; the_checker_finds_each_violation has that case.

--- a/crates/idempotency/src/table.rs
+++ b/crates/idempotency/src/table.rs
@@ -139,6 +139,14 @@
         }
     }
 
+    /// Returns true if attempts wait for the result of this request.
+    pub fn has_waiting(&self, owner: RequestId) -> bool {
+        self.keys_by_owner
+            .get(&owner)
+            .and_then(|key| self.entries.get(key))
+            .is_some_and(|entry| !entry.waiting.is_empty())
+    }
+
     /// Stores the result of a run, of `size` bytes, for later duplicates, and returns the attempts
     /// that waited for it. Has no effect for a request that is not running.
     pub fn finish(
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -23,12 +23,12 @@
         self.requests.insert(id, state);
         self.observed.is_schedule_stale = true;
         let in_flight = f64::from(self.in_flight_by_tenant.add(tenant_key(request.tenant), 1));
-        if request.duplicate_of.is_some() {
+        if let Some(original) = request.duplicate_of {
             // A duplicate is never rejected, as the run that it duplicates may have taken effect.
             if class.idempotency == Idempotency::AtMostOnce {
                 return self.fail_request(id, out);
             }
-            self.set_phase(id, Phase::Joined);
+            self.join_run(id, original);
             return out.push(Action::Join(id));
         }
         let tenant_index = self.observed.traffic.tenant_index(request.tenant);
@@ -87,6 +87,7 @@
             first_attempt_at,
             objective_at,
             deadline,
+            run_deadline: deadline,
             size,
             ..RequestState::default()
         }
--- a/crates/policy/src/dependency_calls.rs
+++ b/crates/policy/src/dependency_calls.rs
@@ -1,7 +1,7 @@
 //! Calls to the dependency: how many may be in flight, which request makes the next one, and its
 //! timeout.
 
-use crate::request::Phase;
+use crate::request::{Phase, NEVER};
 use crate::{Action, CallOutcome, Class, Dependency, Idempotency, Policy, RequestId, Span};
 
 /// Fraction of the call quota that is used: a dependency slows down well before it fails.
@@ -55,7 +55,8 @@
         let class = &self.settings.classes[request.class];
         let may_retry = result == CallOutcome::NotExecuted || class.idempotency == Idempotency::Idempotent;
         let backoff_ms = took.ms().max(class.latency_objective.ms() / 16.0);
-        self.set_phase(id, Phase::WaitingToCall(self.now + Span::from_ms(backoff_ms)));
+        let not_before = if may_retry { self.now + Span::from_ms(backoff_ms) } else { NEVER };
+        self.set_phase(id, Phase::WaitingToCall(not_before));
         if !may_retry {
             self.fail_request(id, out);
         }
@@ -97,7 +98,7 @@
         let mut waiting = Vec::new();
         for (id, request) in &self.requests {
             let Phase::WaitingToCall(not_before) = request.phase else { continue };
-            if !request.is_unanswered || not_before > self.now {
+            if !request.is_run_awaited() || not_before > self.now {
                 continue;
             }
             let class = &self.settings.classes[request.class];
@@ -127,7 +128,7 @@
         if self.calls.mean_in_flight >= limit || in_flight + 1.0 > limit.max(1.0) {
             return;
         }
-        let until_deadline_ms = (request.deadline - self.now).ms();
+        let until_deadline_ms = (request.run_deadline - self.now).ms();
         let timeout_ms = if may_skip { slack_ms } else { until_deadline_ms.min(self.call_timeout_ms(class)) };
         out.push(Action::Call(id, Span::from_ms(timeout_ms.max(1.0))));
         if let Some(request) = self.requests.get_mut(&id) {
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -3,6 +3,9 @@
 use crate::statistics::{tenant_key, CoreTime};
 use crate::{Action, Idempotency, Policy, Preemption, RequestId, RunOutcome, TenantId, Time};
 
+/// A time that does not come.
+pub(crate) const NEVER: Time = Time(i64::MAX);
+
 /// The phase of a request. Only a queued request can be rejected or run, and both end that phase.
 #[derive(Clone, Copy, PartialEq, Debug, Default)]
 pub(crate) enum Phase {
@@ -11,7 +14,8 @@
     /// The request waits for the result of the run that it duplicates.
     Joined,
     OnCore,
-    /// The run waits for permission to call the dependency, which it does not get before this time.
+    /// The run waits for permission to call the dependency, which it does not get before this time;
+    /// [`NEVER`] after a failed call that must not be repeated.
     WaitingToCall(Time),
     Calling,
 }
@@ -27,15 +31,20 @@
     pub(crate) class: usize,
     pub(crate) tenant: Option<TenantId>,
     pub(crate) phase: Phase,
-    /// True until the request is answered or its caller stops waiting. After that the run is
-    /// abandoned and only occupies capacity.
+    /// True until the request is answered or its caller stops waiting.
     pub(crate) is_unanswered: bool,
+    /// The request whose run this one has joined.
+    pub(crate) duplicate_of: Option<RequestId>,
+    /// Number of unanswered requests that have joined this request's run.
+    pub(crate) unanswered_duplicates: usize,
     pub(crate) queued_kb: f64,
     pub(crate) arrived_at: Time,
     /// Time at which the first attempt is assumed to have begun.
     pub(crate) first_attempt_at: Time,
     pub(crate) objective_at: Time,
     pub(crate) deadline: Time,
+    /// Latest deadline of this request and those that have joined its run.
+    pub(crate) run_deadline: Time,
     /// Work according to the request's hint, in units of the class's initial estimate; 1 without a
     /// hint.
     pub(crate) size: f64,
@@ -52,7 +61,26 @@
     pub(crate) had_slot: bool,
 }
 
+impl RequestState {
+    /// Returns true if any caller waits for the end of the run. Otherwise the run is abandoned and
+    /// only occupies capacity.
+    pub(crate) fn is_run_awaited(&self) -> bool {
+        self.is_unanswered || self.unanswered_duplicates > 0
+    }
+}
+
 impl Policy {
+    /// Joins a request to the run of the request that it duplicates.
+    pub(crate) fn join_run(&mut self, id: RequestId, original: RequestId) {
+        self.set_phase(id, Phase::Joined);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.duplicate_of = Some(original);
+        let deadline = request.deadline;
+        let Some(original) = self.requests.get_mut(&original) else { return };
+        original.unanswered_duplicates += 1;
+        original.run_deadline = original.run_deadline.max(deadline);
+    }
+
     /// Changes the phase of a request, and updates counts, memory and core time. Phases are changed
     /// nowhere else.
     pub(crate) fn set_phase(&mut self, id: RequestId, phase: Phase) {
@@ -81,10 +109,15 @@
     fn mark_answered(&mut self, id: RequestId) -> bool {
         let Some(request) = self.requests.get_mut(&id) else { return false };
         let was_unanswered = std::mem::take(&mut request.is_unanswered);
-        if was_unanswered {
-            self.in_flight_by_tenant.add(tenant_key(request.tenant), -1);
+        if !was_unanswered {
+            return false;
+        }
+        self.in_flight_by_tenant.add(tenant_key(request.tenant), -1);
+        let original = request.duplicate_of;
+        if let Some(original) = original.and_then(|original| self.requests.get_mut(&original)) {
+            original.unanswered_duplicates -= 1;
         }
-        was_unanswered
+        true
     }
 
     pub(crate) fn remove_request(&mut self, id: RequestId) -> Option<RequestState> {
@@ -128,14 +161,22 @@
         }
     }
 
-    /// Removes an abandoned request that is not running; otherwise stops its run if that is
-    /// possible.
+    /// Removes an abandoned request that is not running, and stops the run that nobody waits for
+    /// any more.
     fn abandon_request(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let phase = self.requests[&id].phase;
-        if !phase.is_running() {
+        let request = &self.requests[&id];
+        let run = request.duplicate_of.unwrap_or(id);
+        if !request.phase.is_running() {
             self.remove_request(id);
             self.forget_key(id, out);
-        } else if phase == Phase::OnCore && self.settings.preemption != Preemption::Unsupported {
+        }
+        self.stop_unless_awaited(run, out);
+    }
+
+    fn stop_unless_awaited(&self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let may_stop = self.settings.preemption != Preemption::Unsupported;
+        if may_stop && request.phase == Phase::OnCore && !request.is_run_awaited() {
             out.push(Action::Stop(id));
         }
     }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -89,6 +89,22 @@
     );
 }
 
+/// Guards against the stop of a run for which another caller waits.
+#[test]
+fn a_run_is_stopped_once_neither_its_caller_nor_a_duplicate_waits() {
+    for last in [RequestId(1), RequestId(2)] {
+        let mut s = Server::new(settings());
+        s.read_requests(1..2, 1);
+        let again = Request { duplicate_of: Some(RequestId(1)), ..request(2, 1) };
+        s.handle_at(1010.0, &[Event::RequestRead(again)]);
+        let first = RequestId(3 - last.0);
+        let out = s.handle_at(1020.0, &[Event::CallerStoppedWaiting(first)]);
+        assert!(!out.contains(&Action::Stop(RequestId(1))), "{out:?}");
+        let out = s.handle_at(1030.0, &[Event::CallerStoppedWaiting(last)]);
+        assert!(out.contains(&Action::Stop(RequestId(1))), "{out:?}");
+    }
+}
+
 #[test]
 fn a_draining_server_answers_all_and_runs_nothing_that_arrives_after_the_grace() {
     let mut s = Server::new(settings());
--- a/crates/policy/tests/dependency_calls.rs
+++ b/crates/policy/tests/dependency_calls.rs
@@ -19,6 +19,44 @@
     }
 }
 
+/// Guards against a duplicate that fails although the run it has joined could serve it: after the
+/// first caller had stopped waiting, the run got no call, or one that timed out at once.
+#[test]
+fn a_run_gets_its_call_as_long_as_a_duplicate_waits_for_it() {
+    let (original, duplicate) = (RequestId(1), RequestId(2));
+    for duplicate_waits in [true, false] {
+        let mut s = Server::new(settings());
+        assert_eq!(started(&s.read_requests(1..2, 1)), [1]);
+        let again = Request { duplicate_of: Some(original), ..request(2, 1) };
+        s.handle_at(5000.0, &[Event::RequestRead(again)]);
+        if !duplicate_waits {
+            s.handle_at(5010.0, &[Event::CallerStoppedWaiting(duplicate)]);
+        }
+        // The original's deadline ends at 7000 ms, the duplicate's at 11 000.
+        s.handle_at(6990.0, &[Event::CallerStoppedWaiting(original)]);
+        let out = s.handle_at(7100.0, &[Event::CallRequested(original)]);
+        let timeout_ms =
+            out.iter().find_map(|a| if let Action::Call(_, span) = a { Some(span.ms()) } else { None });
+        assert_eq!(timeout_ms.is_some(), duplicate_waits, "{out:?}");
+        assert!(timeout_ms.is_none_or(|ms| ms > 1000.0), "{out:?}");
+    }
+}
+
+#[test]
+fn a_call_that_may_have_taken_effect_is_not_retried_for_a_duplicate() {
+    let original = RequestId(1);
+    let mut s = Server::new(settings());
+    s.read_requests(1..2, 1);
+    assert_eq!(called(&s.handle_at(1010.0, &[Event::CallRequested(original)])), [1]);
+    let read = |id| Event::RequestRead(Request { duplicate_of: Some(original), ..request(id, 1) });
+    s.handle_at(1015.0, &[read(2)]);
+    let lost = Event::CallEnded(original, CallOutcome::Failed, Span::from_ms(10.0));
+    let mut out = s.handle_at(1020.0, &[lost]);
+    out.extend(s.handle_at(1500.0, &[read(3)]));
+    out.extend(s.handle_at(2000.0, &[Event::Wake(Gauges::default())]));
+    assert!(called(&out).is_empty(), "{out:?}");
+}
+
 /// Guards against a call whose answer never arrives occupying its slot until its request's
 /// deadline, and against its time making the dependency look slow.
 #[test]
--- a/crates/policy/tests/invariants.rs
+++ b/crates/policy/tests/invariants.rs
@@ -29,6 +29,8 @@
     has_run: bool,
     is_answered: bool,
     may_call: bool,
+    /// The request whose run this one joins.
+    duplicate_of: Option<u64>,
 }
 
 /// The time of a shutdown notice, and the time at which the process is stopped, in ms.
@@ -59,6 +61,15 @@
         (!ids.is_empty()).then(|| ids[number % ids.len()])
     }
 
+    /// Returns true if any caller waits for the end of a request's run.
+    fn is_run_awaited(&self, id: u64) -> bool {
+        let is_unanswered = |request: &ObservedRequest| !request.is_answered;
+        let has_joined = |request: &ObservedRequest| {
+            request.duplicate_of == Some(id) && request.phase == Phase::Joined && !request.is_answered
+        };
+        self.requests.get(&id).is_some_and(is_unanswered) || self.requests.values().any(has_joined)
+    }
+
     fn request(&mut self, id: u64) -> &mut ObservedRequest {
         self.requests.get_mut(&id).expect("a known request")
     }
@@ -79,8 +90,9 @@
             Action::Reject { id, .. } => self.check_answer(now_ms, id.0, true),
             Action::Fail(id) => self.check_answer(now_ms, id.0, false),
             Action::Call(id, _) => {
+                let is_awaited = self.is_run_awaited(id.0);
                 let request = self.requests.get_mut(&id.0).ok_or("calls for an unknown request")?;
-                if request.phase != Phase::WaitingToCall || !request.may_call {
+                if request.phase != Phase::WaitingToCall || !request.may_call || !is_awaited {
                     return Err(format!("{id:?} makes a call that is not allowed"));
                 }
                 request.phase = Phase::Calling;
@@ -243,6 +255,7 @@
             has_run: duplicate_of.is_some(),
             is_answered: false,
             may_call: true,
+            duplicate_of: duplicate_of.map(|original| original.0),
         };
         self.checker.requests.insert(self.last_id, observed);
         Event::RequestRead(Request {
@@ -265,11 +278,10 @@
 
     fn request_call(&mut self, number: usize) -> Option<Event> {
         let id = self.checker.pick(number, &[Phase::OnCore])?;
-        let request = self.checker.request(id);
-        if request.is_answered {
+        if !self.checker.is_run_awaited(id) {
             return None;
         }
-        request.phase = Phase::WaitingToCall;
+        self.checker.request(id).phase = Phase::WaitingToCall;
         Some(Event::CallRequested(RequestId(id)))
     }
 
@@ -330,12 +342,6 @@
         let mut events = vec![Event::Wake(gauges)];
         events.extend(scenario.events(operation, number));
         scenario.handle(scenario.server.now, &events)?;
-        // A request that waits to call ends once it has been answered.
-        for request in scenario.checker.requests.values_mut() {
-            if request.is_answered && request.phase == Phase::WaitingToCall {
-                request.phase = Phase::Ended;
-            }
-        }
     }
     // Without further events, all requests are still answered in time.
     let has_shutdown = scenario.checker.shutdown.is_some();
@@ -376,6 +382,7 @@
             has_run,
             is_answered: false,
             may_call: !has_run,
+            duplicate_of: None,
         };
         checker.requests.insert(1, request);
         checker.shutdown = Some(Shutdown { announced_ms: -5000.0, stops_ms: 1e9 });
@@ -386,6 +393,9 @@
     assert!(is_violation(0, Phase::Queued, false, 1.0, &[Action::Run(id)]));
     assert!(is_violation(2, Phase::OnCore, true, 1.0, std::slice::from_ref(&reject)));
     assert!(is_violation(2, Phase::WaitingToCall, true, 1.0, &[Action::Call(id, Span(1))]));
+    // Nobody waits for the run any more.
+    let failed_and_calls = [Action::Fail(id), Action::Call(id, Span(1))];
+    assert!(is_violation(0, Phase::WaitingToCall, false, 1.0, &failed_and_calls));
     assert!(is_violation(0, Phase::Queued, false, 1.0, &[reject.clone(), Action::Fail(id)]));
     assert!(is_violation(0, Phase::Queued, false, 161.0, &[]));
     assert!(!is_violation(0, Phase::Queued, false, 1.0, &[reject]));
--- a/src/node/policy_actor/sweep.rs
+++ b/src/node/policy_actor/sweep.rs
@@ -59,8 +59,8 @@
         }
     }
 
-    /// Stops runs whose requests are answered but that have not ended. This is repeated, as
-    /// commands may be lost and cores may stall.
+    /// Stops runs whose requests are answered but that have not ended, unless another request has
+    /// joined them. This is repeated, as commands may be lost and cores may stall.
     ///
     /// No run is assumed to have ended because time has passed: it could still occupy its core, and
     /// another run would be started in parallel.
@@ -73,7 +73,9 @@
             entry.was_sent() && entry.answered_at.is_some_and(is_old)
         };
         for id in self.requests.ids_matching(is_due) {
-            self.stop_abandoned_run(id);
+            if !self.requests.keys.has_waiting(id.0) {
+                self.stop_abandoned_run(id);
+            }
         }
     }
 
--- a/tests/cancellation.rs
+++ b/tests/cancellation.rs
@@ -6,9 +6,11 @@
 mod keyed_node;
 
 use std::io::Write;
+use std::time::{Duration, Instant};
 
 use answers::{assert_failed, result_body};
-use keyed_node::{start_keyed_node, submit, TOKEN};
+use keyed_node::{start_keyed_node, submit, CLASS_DEADLINE_MS, TOKEN};
+use protocol_gateway::node::Limits;
 use serde_json::{json, Value};
 use test_doubles::*;
 
@@ -216,3 +218,60 @@
         .expect("the request has an id")
         .to_string()
 }
+
+/// Guards against a request that fails although the run it has joined could serve it: once the
+/// client of the first request had cancelled, the run's database call was never made.
+#[test]
+fn run_of_a_cancelled_request_makes_its_call_for_a_request_that_has_joined() {
+    let node = start_keyed_node();
+    let (mut first, mut second) = (node.connect(), node.connect());
+    node.executor.stand_still();
+    let cancelled = submit(&mut first, "call:ok", TOKEN);
+    wait_until("the run has started", || {
+        node.executor.run_count("call:ok") == 1
+    });
+    let joined = submit(&mut second, "call:ok", TOKEN);
+    // Answered in the policy's order of reading, so that the repeat has joined the run.
+    second.send_with_fields("version-submit", "another body", &json!({"token": TOKEN}));
+    assert_failed(&second.read_answer());
+    first.cancel(cancelled);
+    assert_eq!(first.query_alive()["result"]["ready"], true);
+    node.executor.resume();
+    let answer = second.read_answer();
+    assert_eq!(
+        (answer["id"].as_u64(), result_body(&answer).as_str()),
+        (Some(joined), "rows for ok")
+    );
+    assert_eq!(node.database.call_count("ok"), 1);
+}
+
+/// Guards against the stop of a run that another request has joined: the sweep stopped the run of a
+/// cancelled request after its class's deadline, whoever waited for it.
+#[test]
+fn run_of_a_cancelled_request_is_not_stopped_while_a_joined_request_waits() {
+    let deadline = Duration::from_millis(CLASS_DEADLINE_MS);
+    let limits = Limits::new(512).policy;
+    let stopped_after = deadline + limits.stop_retry_after + limits.sweep_interval;
+    let node = start_keyed_node();
+    let (mut first, mut second) = (node.connect(), node.connect());
+    let cancelled = submit(&mut first, "hang:a", TOKEN);
+    wait_until("the run has started", || {
+        node.executor.run_count("hang:a") == 1
+    });
+    first.cancel(cancelled);
+    assert_eq!(first.query_alive()["result"]["ready"], true);
+    let cancelled_at = Instant::now();
+    wait_until("most of the deadline has passed", || {
+        cancelled_at.elapsed() >= deadline * 9 / 10
+    });
+    let joined = submit(&mut second, "hang:a", TOKEN);
+    wait_until("the sweep stops abandoned runs", || {
+        cancelled_at.elapsed() >= stopped_after
+    });
+    node.executor.finish_run("hang:a");
+    let answer = second.read_answer();
+    assert_eq!(
+        (answer["id"].as_u64(), result_body(&answer).as_str()),
+        (Some(joined), "late result")
+    );
+}
--- a/tests/common/keyed_node.rs
+++ b/tests/common/keyed_node.rs
@@ -10,6 +10,8 @@
 /// An idempotency key that differs from [`TOKEN`].
 pub(crate) const OTHER_TOKEN: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30212";
 
+/// Deadline of the class, in milliseconds.
+pub(crate) const CLASS_DEADLINE_MS: u64 = 1500;
 /// Idempotency window of the class, in milliseconds.
 pub(crate) const WINDOW_MS: u64 = 400;
 /// Time after the deadline within which the settings still allow an answer, in milliseconds.
@@ -21,7 +23,7 @@
         .as_array_mut()
         .expect("the settings list classes");
     classes.push(
-        json!({"name": "version-submit", "promise": 1000.0, "deadline": 1500.0, "effect": "by_key",
+        json!({"name": "version-submit", "promise": 1000.0, "deadline": CLASS_DEADLINE_MS, "effect": "by_key",
                "lateWorth": 0.2, "window": WINDOW_MS, "worth": 1.0}),
     );
     let specifics = &mut config["settings"]["specifics"];
