An answer goes to the arrival that it is for, not to a later request under its id

Seen: a client cancels a request and sends another under the same id. An answer to the first that was already in the server's mailbox is written as the second one's: a foreign result, or -32002 for a request that runs, whose own answer is then dropped.

Cause: ServerCommand::Answer named its request by connection and id (handler.rs, before_turns); a cancellation frees the id while the answer may be under way.

Evidence and test: answer_to_a_cancelled_request_is_not_given_to_the_next_one_with_its_id steps the server through that order; before, the second request, served, got the first one's -32002.

Change: the answer carries the ArrivalId; at sites whose clients cancel it is written only if that arrival is open under the id. At other sites an id stays in use until its request is answered.

--- a/src/net/jsonrpc/handler.rs
+++ b/src/net/jsonrpc/handler.rs
@@ -16,7 +16,7 @@
 use super::mailbox::{Mailbox, ServerCommand};
 use super::message::{parse_line, ClassifiedRequest};
 use super::server_loop::NodeContext;
-use crate::node::{Arrival, ArrivalId, PolicyMessage, RateLimitedLog, Responder};
+use crate::node::{ArrivalId, PolicyMessage, RateLimitedLog, Responder};
 
 /// The JSON-RPC handler of the client listener.
 pub(super) struct RequestHandler {
@@ -65,13 +65,21 @@
         _now: Instant,
     ) {
         let mailbox = self.mailbox.clone();
-        let responder =
-            Responder::new(move |answer| mailbox.send(ServerCommand::Answer(handle, answer)));
+        let id = ArrivalId::next();
+        let responder = Responder::new(move |answer| {
+            mailbox.send(ServerCommand::Answer {
+                handle,
+                arrival: id,
+                answer,
+            });
+        });
         let site = &self.context.site;
-        let arrival: Arrival = request.params.into_arrival(request.class, site, responder);
+        let arrival = request
+            .params
+            .into_arrival(id, request.class, site, responder);
         if site.callers_report_stopped_waiting {
             if let Some(open_requests) = clients.connection_data(handle.connection) {
-                open_requests.insert(handle.id, arrival.id);
+                open_requests.insert(handle.id, id);
             }
         }
         // Fails only if the policy's thread has terminated, and then the node terminates as well.
@@ -104,9 +112,12 @@
         let mut answered = Vec::new();
         for command in mailbox.drain(&commands) {
             match command {
-                ServerCommand::Answer(handle, answer) => {
-                    remove_open_request(clients, handle);
-                    if clients.close_request(handle, now) {
+                ServerCommand::Answer {
+                    handle,
+                    arrival,
+                    answer,
+                } => {
+                    if self.close_answered(clients, handle, arrival, now) {
                         let line = answer_line(handle.id, &answer);
                         clients.enqueue_line(handle.connection, &line, now);
                         answered.push(handle.connection);
@@ -139,6 +150,28 @@
     }
 }
 
+impl RequestHandler {
+    /// Records that a request is answered. Returns false if its client no longer waits for it. At a
+    /// site whose clients cancel, the same id may by then stand for another request.
+    fn close_answered(
+        &self,
+        clients: &mut ClientListener<Self>,
+        handle: RequestHandle,
+        arrival: ArrivalId,
+        now: Instant,
+    ) -> bool {
+        if self.context.site.callers_report_stopped_waiting {
+            let open_requests = clients.connection_data(handle.connection);
+            let open = open_requests.and_then(|requests| requests.get(&handle.id));
+            if open != Some(&arrival) {
+                return false;
+            }
+            remove_open_request(clients, handle);
+        }
+        clients.close_request(handle, now)
+    }
+}
+
 fn remove_open_request(
     clients: &mut ClientListener<RequestHandler>,
     handle: RequestHandle,
--- a/src/net/jsonrpc/mailbox.rs
+++ b/src/net/jsonrpc/mailbox.rs
@@ -7,12 +7,19 @@
 use crossbeam_channel::{Receiver, Sender};
 use mio::Waker;
 
-use crate::node::Answer;
+use crate::node::{Answer, ArrivalId};
 
 /// A command to the server's thread.
 pub(super) enum ServerCommand {
     /// Sends the answer to a request.
-    Answer(RequestHandle, Answer),
+    Answer {
+        /// The connection of the request, and its id there.
+        handle: RequestHandle,
+        /// The arrival that is answered.
+        arrival: ArrivalId,
+        /// The answer.
+        answer: Answer,
+    },
     /// Sends a close notice to all clients.
     SendCloseNotices,
     /// Starts accepting connections on this socket.
--- a/src/net/jsonrpc/request.rs
+++ b/src/net/jsonrpc/request.rs
@@ -49,13 +49,19 @@
 }
 
 impl Params {
-    /// Converts the parameters to a request for the policy. Requires that [`Params::check`] has
-    /// succeeded.
-    pub(super) fn into_arrival(self, class: ClassId, site: &Site, responder: Responder) -> Arrival {
+    /// Converts the parameters to a request for the policy, which arrived with this id. Requires
+    /// that [`Params::check`] has succeeded.
+    pub(super) fn into_arrival(
+        self,
+        id: ArrivalId,
+        class: ClassId,
+        site: &Site,
+        responder: Responder,
+    ) -> Arrival {
         let tenant_name = self.tenant.filter(|name| !name.is_empty());
         let budget = self.budget_ms.filter(|_| site.passes_deadline);
         Arrival {
-            id: ArrivalId::next(),
+            id,
             uid: RequestUid::parse(&self.request_uid).unwrap_or(RequestUid::from_number(0)),
             class,
             tenant: tenant_name.as_deref().map(|name| site.tenant(name)),
--- a/tests/common/stepped_server.rs
+++ b/tests/common/stepped_server.rs
@@ -7,7 +7,7 @@
 
 use crossbeam_channel::{bounded, Receiver};
 use protocol_gateway::net::jsonrpc::{NodeContext, ServerLoop};
-use protocol_gateway::node::{Answer, Arrival, Limits, Outcome, PolicyMessage};
+use protocol_gateway::node::{Answer, Arrival, ArrivalId, Limits, Outcome, PolicyMessage};
 use protocol_gateway::wire::Site;
 use protocol_gateway::Span;
 use serde_json::Value;
@@ -24,8 +24,16 @@
 impl SteppedServer {
     /// Starts a server on loopback with these changes to its limits.
     pub(crate) fn new(change: impl FnOnce(&mut Limits)) -> SteppedServer {
-        let site =
-            Arc::new(Site::from_json(&small_site_settings()).expect("the settings are valid"));
+        SteppedServer::with_settings(&small_site_settings(), change)
+    }
+
+    /// Starts a server on loopback for a site with these settings, and with these changes to its
+    /// limits.
+    pub(crate) fn with_settings(
+        settings: &Value,
+        change: impl FnOnce(&mut Limits),
+    ) -> SteppedServer {
+        let site = Arc::new(Site::from_json(settings).expect("the settings are valid"));
         let mut limits = Limits::new(512);
         change(&mut limits);
         let (policy, mailbox) = bounded(limits.policy.mailbox);
@@ -78,15 +86,28 @@
 
     /// Steps the server until a request reaches the policy, and returns the request.
     pub(crate) fn next_arrival(&mut self) -> Arrival {
+        match self.next_message() {
+            PolicyMessage::RequestArrived(arrival) => *arrival,
+            _ => panic!("expected a request"),
+        }
+    }
+
+    /// Steps the server until a cancellation reaches the policy, and returns the arrival that it
+    /// names.
+    pub(crate) fn next_cancellation(&mut self) -> ArrivalId {
+        match self.next_message() {
+            PolicyMessage::CallerStoppedWaiting(arrival) => arrival,
+            _ => panic!("expected a cancellation"),
+        }
+    }
+
+    fn next_message(&mut self) -> PolicyMessage {
         let mut message = None;
-        self.step_until("a request is read", |stepped| {
+        self.step_until("a message reaches the policy", |stepped| {
             message = stepped.mailbox.try_recv().ok();
             message.is_some()
         });
-        match message {
-            Some(PolicyMessage::RequestArrived(arrival)) => *arrival,
-            _ => panic!("expected a request"),
-        }
+        message.expect("a message was received")
     }
 
     /// Steps the server until an answer arrives on this connection, and returns it; skips a close
--- a/tests/connection_races.rs
+++ b/tests/connection_races.rs
@@ -15,7 +15,7 @@
 use protocol_gateway::node::{Answer, Arrival, Outcome, Payload};
 use serde_json::{json, Value};
 use stepped_server::{has_input, SteppedServer};
-use test_doubles::TestClient;
+use test_doubles::{small_site_settings, TestClient};
 
 /// Input that the kernel has received before the server closes the connection is handled, even if
 /// the server was too slow to read it before the close.
@@ -342,3 +342,33 @@
         assert_eq!(stepped.next_answer(peer)["error"]["code"], -32700);
     }
 }
+
+/// Guards against a request that gets the answer to another: a client cancels a request and sends
+/// the next one under the same id, while the policy has already answered the first.
+#[test]
+fn answer_to_a_cancelled_request_is_not_given_to_the_next_one_with_its_id() {
+    let mut settings = small_site_settings();
+    settings["specifics"]["tellsGone"] = json!(true);
+    let mut stepped = SteppedServer::with_settings(&settings, |_| {});
+    let mut peer = stepped.connect();
+    let (id, first) = peer.format_request("statement-read", "serve", &Value::Null);
+    let second = first.replace("\"rid\":\"0", "\"rid\":\"1");
+    assert_ne!(first, second);
+    peer.send_line(&first);
+    let cancelled = stepped.next_arrival();
+    peer.cancel(id);
+    peer.send_line(&second);
+    assert_eq!(stepped.next_cancellation(), cancelled.id);
+    let next = stepped.next_arrival();
+    SteppedServer::reject(cancelled);
+    let served = Answer {
+        outcome: Outcome::Served(Payload::from_bytes(b"second")),
+        capacity_hint: None,
+    };
+    next.responder.answer(served);
+    let answer = stepped.next_answer(&mut peer);
+    assert_eq!(
+        (answer["id"].as_u64(), result_body(&answer).as_str()),
+        (Some(id), "second")
+    );
+}
