--- /dev/null
+++ b/review/standins-2/src/cases.rs
@@ -0,0 +1,532 @@
+//! The cases. Each returns how the rule was broken, a line for each request.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::broker::{Broker, Message};
+use crate::client::{Answer, FrontEnd};
+use crate::executor::{result_of, Executor};
+use crate::kit::{
+    cannot_run, connect, free_port, is_ready, node_config, request_line, sleep_ms,
+    start_membership, wait_until_ready, Class, Kit, Process, POST, READ,
+};
+use crate::proxy::{self, Change};
+
+/// Time beyond a due time in which an answer still counts: 100 ms of slack, and 50 ms on sockets.
+const SLACK: Duration = Duration::from_millis(150);
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn start_node(
+    kit: &Kit,
+    label: &str,
+    config: &str,
+    listen: SocketAddr,
+    arguments: &str,
+) -> Process {
+    let path: PathBuf = kit.file(&format!("{label}.json"), config);
+    let variables = [
+        ("PROXY_NAME", "n1".to_string()),
+        ("PROXY_LISTEN", listen.to_string()),
+        ("PROXY_CONFIG", path.display().to_string()),
+    ];
+    kit.start(label, "tmp", arguments, &variables)
+}
+
+/// Changes one byte of the key `word` in the line with this number.
+fn garble(word: &'static str, in_line: usize) -> Change {
+    let mut lines = 0;
+    Arc::new(Mutex::new(move |line: &mut Vec<u8>| {
+        let quoted = format!("\"{word}\":");
+        let Some(at) = line
+            .windows(quoted.len())
+            .position(|w| w == quoted.as_bytes())
+        else {
+            return;
+        };
+        lines += 1;
+        if lines == in_line {
+            line[at + 2] ^= 1;
+        }
+    }))
+}
+
+/// A router, one node, and a proxy between them that changes one byte of one answer.
+pub fn garbled_answer(kit: &Kit) -> Vec<String> {
+    const REQUESTS: u64 = 40;
+    let executor = Executor::start("executor", &kit.record);
+    let (listen, router_listen) = (loopback(free_port()), loopback(free_port()));
+    let config = node_config(
+        "n1",
+        listen,
+        None,
+        executor.address,
+        start_membership(),
+        &[&READ, &POST],
+        true,
+    );
+    let _node = start_node(kit, "node", &config, listen, "");
+    wait_until_ready(listen, "the node");
+    let change = kit.trouble.then(|| garble("error", 3));
+    let seen = proxy::start(listen, None, change, &kit.record);
+    kit.file(
+        "cells.json5",
+        &format!(
+            "{{ version: 1, shard: 0, slack: 0.6, strangers: false, cells: {{ adda: {{}} }},\n\
+             nodes: {{ n1: {{ address: \"{seen}\", site: \"milano-lambrate\", cell: \"adda\" }} }},\n\
+             tenants: {{ alpenergia: {{ share: 1 }} }} }}\n"
+        ),
+    );
+    let router_file = kit.file(
+        "router.json5",
+        &format!(
+            "{{ version: 1, listen: \"{router_listen}\", cells: \"cells.json5\", clients: 400, per_node: 8, classes: {{\n\
+             \"statement-read\": {{ once: false, deadline_ms: 8700 }}, \"settlement-post\": {{ once: true, deadline_ms: 12000 }} }} }}\n"
+        ),
+    );
+    let _router = kit.start(
+        "router",
+        "tmp-router",
+        &format!("route {}", router_file.display()),
+        &[],
+    );
+    wait_until_ready(router_listen, "the router");
+    let mut front = FrontEnd::connect("front end", router_listen, &kit.record);
+    let body = |id: u64| {
+        // One in five runs ends with an error.
+        let word = if id.is_multiple_of(5) {
+            "fail"
+        } else {
+            "serve"
+        };
+        format!("{word} 60 settlement-{id}")
+    };
+    for id in 1..=REQUESTS {
+        front.send(&request_line(
+            id,
+            POST.name,
+            0x5100 + id,
+            "alpenergia",
+            &body(id),
+            None,
+        ));
+        sleep_ms(40);
+    }
+    front.wait(1..=REQUESTS, Duration::from_millis(13_000));
+    let runs = executor.runs();
+    let mut broken = Vec::new();
+    for id in 1..=REQUESTS {
+        for answer in front.answers(id) {
+            let Answer::Served(result) = answer else {
+                continue;
+            };
+            let run = runs.iter().find(|run| run.body == body(id));
+            let is_result = run.is_some_and(|r| r.has_ended_well)
+                && result.as_deref() == Some(&result_of(&body(id)));
+            if !is_result {
+                broken.push(format!(
+                    "request {id} was answered 'served' with {result:?}, which no run made; its run: {}",
+                    run.map_or("none", |r| if r.has_ended_well { "OK" } else { "ERROR" })
+                ));
+            }
+        }
+    }
+    broken
+}
+
+/// A front end whose one connection carries requests; a proxy changes one byte of one of them.
+pub fn garbled_request(kit: &Kit) -> Vec<String> {
+    const REQUESTS: u64 = 200;
+    let executor = Executor::start("executor", &kit.record);
+    let listen = loopback(free_port());
+    let config = node_config(
+        "n1",
+        listen,
+        None,
+        executor.address,
+        start_membership(),
+        &[&READ, &POST],
+        true,
+    );
+    let _node = start_node(kit, "node", &config, listen, "");
+    wait_until_ready(listen, "the node");
+    let garbled: u64 = 100;
+    let change = kit.trouble.then(|| garble("method", garbled as usize));
+    let seen = proxy::start(listen, change, None, &kit.record);
+    let mut front = FrontEnd::connect("front end", seen, &kit.record);
+    let body = |id: u64| format!("serve 250 settlement-{id}");
+    let mut sent_before = 0;
+    for id in 1..=REQUESTS {
+        front.send(&request_line(
+            id,
+            POST.name,
+            0x5200 + id,
+            "alpenergia",
+            &body(id),
+            None,
+        ));
+        sent_before = id;
+        sleep_ms(50);
+        if front.has_ended() {
+            break;
+        }
+    }
+    front.wait(1..=sent_before, Duration::from_millis(13_000));
+    sleep_ms(300);
+    let runs = executor.runs();
+    let mut broken = Vec::new();
+    for id in (1..=sent_before).filter(|id| *id < garbled || !kit.trouble) {
+        if front.answers(id).len() != 1 {
+            let ran = runs
+                .iter()
+                .filter(|r| r.body == body(id) && r.has_ended_well)
+                .count();
+            let answers = front.answers(id).len();
+            broken.push(format!("request {id} got {answers} final answers on its connection; runs that ended well: {ran}"));
+        }
+    }
+    // The rule is broken from 3 requests in 1,000 on.
+    if broken.len() * 1000 < 3 * REQUESTS as usize {
+        broken.clear();
+    }
+    broken
+}
+
+pub fn inventory(
+    kit: &Kit,
+    broker: SocketAddr,
+    hosts: &[(&str, &str, &str, &str, u16)],
+) -> PathBuf {
+    let mut text = format!(
+        "all:\n  vars:\n    host: 127.0.0.1\n    port: {}\n    vhost: billing\n    username: mothwinch\n    password_env: MOTHWINCH_AMQP_PASSWORD\n  hosts:\n",
+        broker.port()
+    );
+    for (host, queue, class, tenant, prefetch) in hosts {
+        text += &format!(
+            "    {host}:\n      queue: {queue}\n      class: {class}\n      tenant: {tenant}\n      prefetch: {prefetch}\n"
+        );
+    }
+    kit.file("inventory.yaml", &text)
+}
+
+fn start_consumer(
+    kit: &Kit,
+    label: &str,
+    executor: &Executor,
+    inventory: &std::path::Path,
+) -> Process {
+    let listen = loopback(free_port());
+    let config = node_config(
+        "n1",
+        listen,
+        None,
+        executor.address,
+        start_membership(),
+        &[&READ, &POST],
+        true,
+    );
+    let path = kit.file(&format!("{label}.json"), &config);
+    let variables = [
+        ("PROXY_NAME", label.replace(' ', "-")),
+        ("PROXY_LISTEN", listen.to_string()),
+        ("PROXY_CONFIG", path.display().to_string()),
+        ("MOTHWINCH_AMQP_PASSWORD", "secret".to_string()),
+    ];
+    let node = kit.start(
+        label,
+        label,
+        &format!("--inventory {}", inventory.display()),
+        &variables,
+    );
+    wait_until_ready(listen, label);
+    node
+}
+
+/// An inventory of three queues, of which one name is mistyped; the other two hold messages.
+pub fn unknown_queue(kit: &Kit) -> Vec<String> {
+    const MESSAGES: usize = 12;
+    let executor = Executor::start("executor", &kit.record);
+    let queues = [
+        "alpenergia.settlements",
+        "alpenergia.statements",
+        "solpiana.statements",
+    ];
+    let broker = Broker::start(&queues, Duration::from_millis(2), &kit.record);
+    let third = if kit.trouble {
+        "solpiana.statments"
+    } else {
+        "solpiana.statements"
+    };
+    let hosts = [
+        (
+            "alpenergia-settlements",
+            queues[0],
+            POST.name,
+            "alpenergia",
+            4,
+        ),
+        (
+            "alpenergia-statements",
+            queues[1],
+            READ.name,
+            "alpenergia",
+            16,
+        ),
+        ("solpiana-statements", third, READ.name, "solpiana", 16),
+    ];
+    let inventory = inventory(kit, broker.address, &hosts);
+    let _node = start_consumer(kit, "node", &executor, &inventory);
+    let names: Vec<(String, Class, &str)> = (0..MESSAGES)
+        .flat_map(|i| {
+            [
+                (format!("settlement-{i}"), POST, queues[0]),
+                (format!("statement-{i}"), READ, queues[1]),
+            ]
+        })
+        .collect();
+    for (name, _, queue) in &names {
+        broker.publish(queue, Message::request(name, &format!("serve 250 {name}")));
+        sleep_ms(100);
+    }
+    // Until the longest deadline after the last message is over.
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(14_000) && broker.reply_count() < names.len() {
+        sleep_ms(20);
+    }
+    let runs = executor.runs();
+    let mut broken = Vec::new();
+    for (name, class, _) in &names {
+        let replies = broker.replies(name);
+        let due = Duration::from_millis(u64::from(class.deadline)) + SLACK;
+        let delivered = broker.delivered_at(name);
+        let in_time =
+            delivered.is_some_and(|at| replies.iter().any(|(_, r)| r.duration_since(at) <= due));
+        let ran = runs
+            .iter()
+            .filter(|r| r.body.ends_with(&format!(" {name}")))
+            .count();
+        let words: Vec<&str> = replies.iter().map(|(kind, _)| kind.as_str()).collect();
+        kit.record.line(&format!(
+            "{name}: delivered {}, runs {ran}, replies {words:?}, dead-lettered {}",
+            delivered.is_some(),
+            broker.is_dead_lettered(name)
+        ));
+        // A message that the node was given is owed one final answer by its due time.
+        if delivered.is_some_and(|at| at.elapsed() > due) && !in_time {
+            broken.push(format!(
+                "{name} was delivered to the node and got no final answer in its time; runs: {ran}"
+            ));
+        }
+    }
+    kit.record.line(&format!(
+        "connections to the broker: {}",
+        broker.connections()
+    ));
+    broken
+}
+
+pub fn is_healthy(admin: SocketAddr) -> bool {
+    use std::io::{BufRead, BufReader, Write};
+    let Some(mut stream) = connect(admin) else {
+        return false;
+    };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+    let mut line = String::new();
+    stream.write_all(b"health\n").is_ok()
+        && BufReader::new(stream).read_line(&mut line).is_ok()
+        && line.starts_with("ok")
+}
+
+/// A planned replacement of the process at a site whose further tries bear no mark.
+pub fn unmarked_repeat(kit: &Kit) -> Vec<String> {
+    const REQUESTS: u64 = 20;
+    let keyed = Class {
+        effect: "by_key",
+        deadline: 3400,
+        window: 30126,
+        promise: 1400,
+        ..POST
+    };
+    let executors = [
+        Executor::start("executor A", &kit.record),
+        Executor::start("executor B", &kit.record),
+    ];
+    let listen = loopback(free_port());
+    let members = start_membership();
+    let admins = [loopback(free_port()), loopback(free_port())];
+    let config = |i: usize| {
+        node_config(
+            "n1",
+            listen,
+            Some(admins[i]),
+            executors[i].address,
+            members,
+            &[&READ, &keyed],
+            false,
+        )
+    };
+    let mut old = start_node(kit, "old", &config(0), listen, "");
+    wait_until_ready(listen, "the old process");
+    let body = |i: u64| format!("serve 60 settlement-{i}");
+    let token = |i: u64| format!("{:032x}", 0x5c0f_6e1a_0000u64 + i);
+    let mut first = FrontEnd::connect("front end, first tries", listen, &kit.record);
+    for i in 1..=REQUESTS {
+        first.send(&request_line(
+            i,
+            keyed.name,
+            0x5300 + i,
+            "alpenergia",
+            &body(i),
+            Some(&token(i)),
+        ));
+        sleep_ms(40);
+    }
+    first.wait(1..=REQUESTS, Duration::from_secs(4));
+    let mut new = None;
+    if kit.trouble {
+        new = Some(start_node(kit, "new", &config(1), listen, ""));
+        let begun = Instant::now();
+        while !is_healthy(admins[1]) {
+            if begun.elapsed() > Duration::from_secs(6) {
+                cannot_run("the new process did not say yes within 6 s");
+            }
+            sleep_ms(50);
+        }
+        kit.record
+            .line("the new process says yes; SIGTERM to the old one");
+        old.signal("-TERM");
+        let begun = Instant::now();
+        while !old.has_ended() && begun.elapsed() < Duration::from_millis(3700) {
+            sleep_ms(20);
+        }
+        kit.record
+            .line("the old process has ended, or is killed 3.7 s after SIGTERM");
+        old.kill();
+    }
+    if !is_ready(listen) {
+        cannot_run("no process serves");
+    }
+    let mut second = FrontEnd::connect("front end, repeats", listen, &kit.record);
+    for i in 1..=REQUESTS {
+        second.send(&request_line(
+            i,
+            keyed.name,
+            0x5400 + i,
+            "alpenergia",
+            &body(i),
+            Some(&token(i)),
+        ));
+        sleep_ms(40);
+    }
+    second.wait(1..=REQUESTS, Duration::from_secs(4));
+    sleep_ms(300);
+    drop(new);
+    let mut broken = Vec::new();
+    for i in 1..=REQUESTS {
+        let runs: usize = executors
+            .iter()
+            .map(|e| e.runs().iter().filter(|r| r.body == body(i)).count())
+            .sum();
+        if runs > 1 {
+            broken.push(format!(
+                "the request with token {} ran {runs} times within its window",
+                token(i)
+            ));
+        }
+    }
+    broken
+}
+
+/// A broker that keeps pushing while one of two nodes is draining.
+pub fn keeps_pushing(kit: &Kit) -> Vec<String> {
+    const MESSAGES: usize = 120;
+    let executors = [
+        Executor::start("executor A", &kit.record),
+        Executor::start("executor B", &kit.record),
+    ];
+    let queues = ["alpenergia.settlements"];
+    let broker = Broker::start(&queues, Duration::from_millis(20), &kit.record);
+    let hosts = [(
+        "alpenergia-settlements",
+        queues[0],
+        POST.name,
+        "alpenergia",
+        4,
+    )];
+    let inventory = inventory(kit, broker.address, &hosts);
+    let mut leaving = start_consumer(kit, "node A", &executors[0], &inventory);
+    let _staying = start_consumer(kit, "node B", &executors[1], &inventory);
+    if kit.trouble {
+        // Longer than the node has from SIGTERM to SIGKILL.
+        broker.push_after_cancel(Duration::from_millis(4000));
+    }
+    let mut told = None;
+    for i in 0..MESSAGES {
+        let name = format!("settlement-{i}");
+        broker.publish(
+            queues[0],
+            Message::request(&name, &format!("serve 250 {name}")),
+        );
+        sleep_ms(40);
+        if i == MESSAGES / 3 {
+            kit.record.line("SIGTERM to node A");
+            leaving.signal("-TERM");
+            told = Some(Instant::now());
+        }
+    }
+    let told = told.unwrap_or_else(Instant::now);
+    while !leaving.has_ended() && told.elapsed() < Duration::from_millis(3200) {
+        sleep_ms(2);
+    }
+    let how = if leaving.has_ended() {
+        "has ended by itself within 3.2 s"
+    } else {
+        "gets SIGKILL 3.2 s after SIGTERM"
+    };
+    kit.record.line(&format!("node A {how}"));
+    leaving.kill();
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(13_000)
+        && (0..MESSAGES).any(|i| broker.replies(&format!("settlement-{i}")).is_empty())
+    {
+        sleep_ms(20);
+    }
+    sleep_ms(1500);
+    kit.record.line(&format!(
+        "copies that nodes published to the queue: {}",
+        broker.copies()
+    ));
+    let mut broken = Vec::new();
+    for i in 0..MESSAGES {
+        let name = format!("settlement-{i}");
+        let replies: Vec<String> = broker
+            .replies(&name)
+            .into_iter()
+            .map(|(kind, _)| kind)
+            .collect();
+        let runs: usize = executors
+            .iter()
+            .map(|e| {
+                e.runs()
+                    .iter()
+                    .filter(|r| r.body.ends_with(&format!(" {name}")))
+                    .count()
+            })
+            .sum();
+        kit.record.line(&format!(
+            "{name}: runs {runs}, replies {replies:?}, dead-lettered {}",
+            broker.is_dead_lettered(&name)
+        ));
+        if replies.len() != 1 || runs > 1 {
+            broken.push(format!(
+                "{name} got {} final answers: {replies:?}; runs: {runs}",
+                replies.len()
+            ));
+        }
+    }
+    broken
+}
