--- a/review/standins-2/src/broker.rs
+++ b/review/standins-2/src/broker.rs
@@ -47,6 +47,62 @@
     }
 }
 
+/// Bytes of headers in a large message: with the other properties they fit the smallest frame that this program agrees on.
+const HEADER_BYTES: usize = 8100;
+
+impl Message {
+    /// A message with headers of some 8 KB that hold tables in tables; each holds one field, whose name is `name`.
+    pub fn with_nested_headers(id: &str, body: &str, name: &str) -> Message {
+        let mut headers = Vec::new();
+        while headers.len() + name.len() + 6 <= HEADER_BYTES {
+            let mut table = Vec::new();
+            short(&mut table, name);
+            table.push(b'F');
+            table.extend((headers.len() as u32).to_be_bytes());
+            table.extend(&headers);
+            headers = table;
+        }
+        Message::request(id, body).with_headers(&headers)
+    }
+
+    /// A message with headers of some 8 KB in one table.
+    pub fn with_flat_headers(id: &str, body: &str) -> Message {
+        let mut headers = Vec::new();
+        for number in 0.. {
+            let mut field = Vec::new();
+            short(&mut field, &format!("x-{number}"));
+            field.push(b't');
+            field.push(1);
+            if headers.len() + field.len() > HEADER_BYTES {
+                break;
+            }
+            headers.extend(field);
+        }
+        Message::request(id, body).with_headers(&headers)
+    }
+
+    /// A message whose correlation id is `id` and one more byte, which is no UTF-8.
+    pub fn with_unreadable_id(id: &str, body: &str) -> Message {
+        let mut message = Message::request(id, body);
+        // Behind the class, weight, body size, flags and delivery mode stands the correlation id.
+        let at = 15;
+        message.header[at] += 1;
+        message.header.insert(at + 1 + id.len(), 0xE0);
+        message
+    }
+
+    fn with_headers(mut self, headers: &[u8]) -> Message {
+        let flags = u16::from_be_bytes([self.header[12], self.header[13]]) | 1 << 13;
+        let mut header = self.header[..12].to_vec();
+        header.extend(flags.to_be_bytes());
+        header.extend((headers.len() as u32).to_be_bytes());
+        header.extend(headers);
+        header.extend(&self.header[14..]);
+        self.header = header;
+        self
+    }
+}
+
 #[derive(Default)]
 struct State {
     queues: HashMap<String, VecDeque<Message>>,
@@ -139,10 +195,6 @@
         self.lock().copies
     }
 
-    pub fn reply_count(&self) -> usize {
-        self.lock().replies.len()
-    }
-
     pub fn is_dead_lettered(&self, id: &str) -> bool {
         self.lock().dead_letters.iter().any(|m| m.id == id)
     }
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -246,21 +246,12 @@
     node
 }
 
-/// An inventory of three queues, of which one name is mistyped; the other two hold messages.
-pub fn unknown_queue(kit: &Kit) -> Vec<String> {
-    const MESSAGES: usize = 12;
+/// Two queues; one message of the second has a correlation id that is no UTF-8.
+pub fn unreadable_message(kit: &Kit) -> Vec<String> {
+    const MESSAGES: usize = 20;
     let executor = Executor::start("executor", &kit.record);
-    let queues = [
-        "alpenergia.settlements",
-        "alpenergia.statements",
-        "solpiana.statements",
-    ];
+    let queues = ["alpenergia.settlements", "solpiana.statements"];
     let broker = Broker::start(&queues, Duration::from_millis(2), &kit.record);
-    let third = if kit.trouble {
-        "solpiana.statments"
-    } else {
-        "solpiana.statements"
-    };
     let hosts = [
         (
             "alpenergia-settlements",
@@ -269,42 +260,62 @@
             "alpenergia",
             4,
         ),
-        (
-            "alpenergia-statements",
-            queues[1],
-            READ.name,
-            "alpenergia",
-            16,
-        ),
-        ("solpiana-statements", third, READ.name, "solpiana", 16),
+        ("solpiana-statements", queues[1], READ.name, "solpiana", 16),
     ];
     let inventory = inventory(kit, broker.address, &hosts);
     let _node = start_consumer(kit, "node", &executor, &inventory);
-    let names: Vec<(String, Class, &str)> = (0..MESSAGES)
-        .flat_map(|i| {
-            [
-                (format!("settlement-{i}"), POST, queues[0]),
-                (format!("statement-{i}"), READ, queues[1]),
-            ]
-        })
-        .collect();
-    for (name, _, queue) in &names {
-        broker.publish(queue, Message::request(name, &format!("serve 250 {name}")));
+    let mut names = Vec::new();
+    for i in 0..MESSAGES {
+        for (word, class, queue) in [
+            ("settlement", POST, queues[0]),
+            ("statement", READ, queues[1]),
+        ] {
+            let name = format!("{word}-{i}");
+            broker.publish(queue, Message::request(&name, &format!("serve 250 {name}")));
+            names.push((name, class));
+        }
+        if i == MESSAGES / 4 {
+            let name = "societ";
+            let body = format!("serve 250 {name}");
+            let message = if kit.trouble {
+                Message::with_unreadable_id(name, &body)
+            } else {
+                Message::request(name, &body)
+            };
+            broker.publish(queues[1], message);
+        }
         sleep_ms(100);
     }
-    // Until the longest deadline after the last message is over.
+    judge_queues(kit, &broker, &executor, &names)
+}
+
+/// Waits until the longest deadline after the last message is over. Returns the messages that were given to the node and
+/// have no final answer by the time that its class is given up.
+fn judge_queues(
+    kit: &Kit,
+    broker: &Broker,
+    executor: &Executor,
+    names: &[(String, Class)],
+) -> Vec<String> {
     let begun = Instant::now();
-    while begun.elapsed() < Duration::from_millis(14_000) && broker.reply_count() < names.len() {
+    while begun.elapsed() < Duration::from_millis(14_000)
+        && names
+            .iter()
+            .any(|(name, _)| broker.replies(name).is_empty())
+    {
         sleep_ms(20);
     }
     let runs = executor.runs();
     let mut broken = Vec::new();
-    for (name, class, _) in &names {
+    for (name, class) in names {
         let replies = broker.replies(name);
         let due = Duration::from_millis(u64::from(class.deadline)) + SLACK;
         let delivered = broker.delivered_at(name);
-        let in_time =
-            delivered.is_some_and(|at| replies.iter().any(|(_, r)| r.duration_since(at) <= due));
+        let in_time = delivered.is_some_and(|at| {
+            replies
+                .iter()
+                .any(|(_, reply)| reply.duration_since(at) <= due)
+        });
         let ran = runs
             .iter()
             .filter(|r| r.body.ends_with(&format!(" {name}")))
@@ -315,7 +326,6 @@
             delivered.is_some(),
             broker.is_dead_lettered(name)
         ));
-        // A message that the node was given is owed one final answer by its due time.
         if delivered.is_some_and(|at| at.elapsed() > due) && !in_time {
             broken.push(format!(
                 "{name} was delivered to the node and got no final answer in its time; runs: {ran}"
@@ -329,6 +339,55 @@
     broken
 }
 
+/// An inventory of three queues, of which one name is mistyped; the other two hold messages.
+pub fn unknown_queue(kit: &Kit) -> Vec<String> {
+    const MESSAGES: usize = 12;
+    let executor = Executor::start("executor", &kit.record);
+    let queues = [
+        "alpenergia.settlements",
+        "alpenergia.statements",
+        "solpiana.statements",
+    ];
+    let broker = Broker::start(&queues, Duration::from_millis(2), &kit.record);
+    let third = if kit.trouble {
+        "solpiana.statments"
+    } else {
+        "solpiana.statements"
+    };
+    let hosts = [
+        (
+            "alpenergia-settlements",
+            queues[0],
+            POST.name,
+            "alpenergia",
+            4,
+        ),
+        (
+            "alpenergia-statements",
+            queues[1],
+            READ.name,
+            "alpenergia",
+            16,
+        ),
+        ("solpiana-statements", third, READ.name, "solpiana", 16),
+    ];
+    let inventory = inventory(kit, broker.address, &hosts);
+    let _node = start_consumer(kit, "node", &executor, &inventory);
+    let mut names = Vec::new();
+    for i in 0..MESSAGES {
+        for (word, class, queue) in [
+            ("settlement", POST, queues[0]),
+            ("statement", READ, queues[1]),
+        ] {
+            let name = format!("{word}-{i}");
+            broker.publish(queue, Message::request(&name, &format!("serve 250 {name}")));
+            names.push((name, class));
+            sleep_ms(100);
+        }
+    }
+    judge_queues(kit, &broker, &executor, &names)
+}
+
 pub fn is_healthy(admin: SocketAddr) -> bool {
     use std::io::{BufRead, BufReader, Write};
     let Some(mut stream) = connect(admin) else {
@@ -530,3 +589,86 @@
     }
     broken
 }
+
+/// Two nodes take statements from a queue, to which a partner publishes a message whose headers hold tables in tables.
+pub fn nested_headers(kit: &Kit) -> Vec<String> {
+    const GOOD: usize = 40;
+    let executors = [
+        Executor::start("executor A", &kit.record),
+        Executor::start("executor B", &kit.record),
+    ];
+    let queues = ["alpenergia.statements"];
+    let broker = Broker::start(&queues, Duration::from_millis(2), &kit.record);
+    let hosts = [(
+        "alpenergia-statements",
+        queues[0],
+        READ.name,
+        "alpenergia",
+        8,
+    )];
+    let inventory = inventory(kit, broker.address, &hosts);
+    let mut nodes = vec![
+        (
+            "node A",
+            start_consumer(kit, "node A", &executors[0], &inventory),
+        ),
+        (
+            "node B",
+            start_consumer(kit, "node B", &executors[1], &inventory),
+        ),
+    ];
+    let large = |name: &str, field: &str| {
+        let body = format!("serve 100 {name}");
+        if kit.trouble {
+            Message::with_nested_headers(name, &body, field)
+        } else {
+            Message::with_flat_headers(name, &body)
+        }
+    };
+    let mut broken = Vec::new();
+    for i in 0..GOOD {
+        let name = format!("statement-{i}");
+        broker.publish(
+            queues[0],
+            Message::request(&name, &format!("serve 250 {name}")),
+        );
+        match i {
+            // Names of one letter, which the specification allows, and names without any.
+            10 => broker.publish(queues[0], large("large-1", "x")),
+            20 => broker.publish(queues[0], large("large-2", "")),
+            _ => {}
+        }
+        sleep_ms(100);
+        nodes.retain_mut(|(label, node)| {
+            let has_ended = node.has_ended();
+            if has_ended {
+                kit.record.line(&format!("{label} has ended by itself"));
+                broken.push(format!("{label} crashed: nobody told it to end"));
+            }
+            !has_ended
+        });
+    }
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(9000)
+        && (0..GOOD).any(|i| broker.replies(&format!("statement-{i}")).is_empty())
+    {
+        sleep_ms(20);
+    }
+    for name in ["large-1", "large-2"] {
+        kit.record
+            .line(&format!("{name}: replies {}", broker.replies(name).len()));
+    }
+    let unanswered = (0..GOOD)
+        .filter(|i| broker.replies(&format!("statement-{i}")).is_empty())
+        .count();
+    kit.record.line(&format!(
+        "other messages without an answer: {unanswered} of {GOOD}; nodes that still run: {}",
+        nodes.len()
+    ));
+    for (label, node) in &mut nodes {
+        if node.has_ended() {
+            broken.push(format!("{label} crashed: nobody told it to end"));
+        }
+    }
+    broken
+}
