--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -239,7 +239,7 @@
 
 /// A broker that keeps pushing while one of two nodes is draining.
 pub fn keeps_pushing(kit: &Kit) -> Vec<String> {
-    const MESSAGES: usize = 120;
+    const MESSAGES: usize = 200;
     let executors = [
         Executor::start("executor A", &kit.record),
         Executor::start("executor B", &kit.record),
@@ -251,7 +251,7 @@
         queues[0],
         POST.name,
         "alpenergia",
-        4,
+        16,
     )];
     let inventory = inventory(kit, broker.address, &hosts);
     let mut leaving = start_consumer(kit, "node A", &executors[0], &inventory);
@@ -267,8 +267,8 @@
             queues[0],
             Message::request(&name, &format!("serve 250 {name}")),
         );
-        sleep_ms(40);
-        if i == MESSAGES / 3 {
+        sleep_ms(15);
+        if i == MESSAGES / 5 {
             kit.record.line("SIGTERM to node A");
             leaving.signal("-TERM");
             told = Some(Instant::now());
