A failed AMQP channel costs its own queue alone, and is opened again

Cause: BrokerActor::perform made the failure of one channel an error of the connection. The broker closes a channel with 404 and leaves the connection open; the node dropped it with all deliveries of all queues, connected again and met the same failure. The same cause stood behind a consumer that the broker cancels and behind a method that is not allowed on a channel.

Change: QueueChannel opens a failed channel again, alone and with backoff. Each opening has a generation of its own, since delivery tags begin again with it. A cancelled consumer settles its deliveries before its channel is closed; frames on a channel that is closing are ignored.

It works because nothing of another channel is touched any more by a channel's end: its deliveries, its tags and the connection stay.

--- a/src/amqp/broker/error.rs
+++ b/src/amqp/broker/error.rs
@@ -5,8 +5,6 @@
 use amq_protocol::protocol::connection::Close;
 use thiserror::Error;
 
-use super::super::consumer::ChannelError;
-
 /// Why a connection to a broker could not be made, or ended.
 #[derive(Debug, Error)]
 pub(super) enum BrokerError {
@@ -37,9 +35,6 @@
     /// The broker sent a frame on a channel that is not open.
     #[error("frame on channel {0}, which is not open")]
     UnknownChannel(u16),
-    /// A consumer's channel failed.
-    #[error(transparent)]
-    Channel(#[from] ChannelError),
     /// The thread that reads frames has ended.
     #[error("connection lost")]
     ConnectionLost,
--- a/src/amqp/broker/mod.rs
+++ b/src/amqp/broker/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod error;
 mod handshake;
+mod queue_channel;
 mod session;
 
 use std::sync::atomic::Ordering::SeqCst;
@@ -28,9 +29,9 @@
     ShutDown,
 }
 
-/// The answer to a delivery on one of the actor's connections.
+/// The answer to a delivery on one of the actor's channels.
 pub(super) struct DeliveryAnswer {
-    /// The generation of the connection.
+    /// The generation of the channel.
     generation: u64,
     channel: u16,
     tag: u64,
@@ -52,7 +53,8 @@
     log: Logger,
     /// State of the random generator.
     random_state: u64,
-    /// Number of the current connection. Answers to deliveries of earlier connections are ignored.
+    /// Number of channels that have been opened, on all connections. Answers to deliveries of
+    /// earlier openings of a channel are ignored.
     generation: u64,
     /// Number of unsettled deliveries, as counted in the shared state.
     unsettled: usize,
@@ -89,7 +91,6 @@
                 self.pause(limits.reconnect_backoff);
                 continue;
             }
-            self.generation += 1;
             let connected_at = Instant::now();
             match self.run_connection() {
                 Ok(()) => break,
--- a/src/amqp/broker/session.rs
+++ b/src/amqp/broker/session.rs
@@ -8,12 +8,15 @@
 use amq_protocol::protocol::connection::{AMQPMethod as Method, Close, CloseOk};
 use amq_protocol::protocol::AMQPClass;
 use amq_protocol::types::ShortString;
-use crossbeam_channel::{at, select_biased};
+use crossbeam_channel::{at, never, select_biased, Receiver};
 use slog::{info, warn};
 
-use super::super::consumer::{ChannelState, Consumer, ConsumerEffect, ConsumerSettings, Delivery};
+use super::super::consumer::{
+    ChannelError, ChannelState, ConsumerEffect, ConsumerSettings, Delivery,
+};
 use super::connection::{Connection, CONNECTION_CHANNEL};
 use super::error::BrokerError;
+use super::queue_channel::QueueChannel;
 use super::{BrokerActor, BrokerMessage, DeliveryAnswer};
 use crate::node::{
     steady_now, Arrival, ArrivalId, CellKey, Payload, PolicyMessage, RequestUid, Responder,
@@ -37,9 +40,10 @@
 /// The reply code of a regular close.
 const REPLY_SUCCESS: u16 = 200;
 
-/// The consumers on a connection and the times of its heartbeats.
+/// The channels on a connection and the times of its heartbeats.
 struct Session {
-    consumers: Vec<Consumer>,
+    /// The channel of each queue.
+    channels: Vec<QueueChannel>,
     effects: Vec<ConsumerEffect>,
     last_received_at: Instant,
     last_sent_at: Instant,
@@ -48,24 +52,43 @@
 
 impl Session {
     fn unsettled_count(&self) -> usize {
-        self.consumers.iter().map(Consumer::unsettled_count).sum()
+        let channels = self.channels.iter();
+        channels
+            .map(|channel| channel.consumer.unsettled_count())
+            .sum()
     }
 
     fn is_closed(&self) -> bool {
-        self.consumers
+        self.channels
             .iter()
-            .all(|consumer| consumer.channel_state() == ChannelState::Closed)
+            .all(|channel| channel.consumer.channel_state() == ChannelState::Closed)
     }
 
-    /// Returns the consumer of a channel and its index. Channels are numbered from 1.
-    fn consumer_of_channel(&mut self, channel: u16) -> Option<(usize, &mut Consumer)> {
+    /// Returns the index of the queue of this channel.
+    fn queue_index(&self, channel: u16) -> Option<usize> {
         let index = usize::from(channel).wrapping_sub(1);
-        self.consumers
-            .get_mut(index)
-            .map(|consumer| (index, consumer))
+        Some(index).filter(|index| *index < self.channels.len())
+    }
+
+    /// Returns a channel that receives a message when the next failed channel is to be opened
+    /// again. In a shutdown, none is.
+    fn next_reopen(&self) -> Receiver<Instant> {
+        if self.is_shutting_down {
+            return never();
+        }
+        let due = self.channels.iter().filter_map(QueueChannel::reopen_due);
+        due.min().map_or_else(never, at)
     }
 }
 
+/// The result of performing the effects of a consumer.
+struct Performed {
+    /// True if a frame was sent.
+    has_sent: bool,
+    /// Why the consumer's channel failed, if it did.
+    channel_error: Option<ChannelError>,
+}
+
 impl BrokerActor {
     /// Serves a connection until it is closed for the shutdown, or ends with an error.
     pub(super) fn serve(&mut self, connection: &Connection) -> Result<(), BrokerError> {
@@ -76,6 +99,7 @@
         loop {
             let heartbeat_due = at(session.last_sent_at + interval);
             let silence_limit = at(session.last_received_at + interval * MAX_SILENT_INTERVALS);
+            let next_reopen = session.next_reopen();
             // Answers have priority over received frames.
             select_biased! {
                 recv(self.mailbox.receiver) -> message => {
@@ -93,6 +117,7 @@
                     session.last_sent_at = Instant::now();
                 }
                 recv(silence_limit) -> _ => return Err(BrokerError::NoHeartbeat),
+                recv(next_reopen) -> _ => self.reopen_channels(connection, &mut session)?,
             }
             if connection.has_lost_answers.load(SeqCst) {
                 return Err(BrokerError::AnswersLost);
@@ -109,20 +134,47 @@
 
     /// Opens a channel for each queue.
     fn open_session(&mut self, connection: &Connection) -> Result<Session, BrokerError> {
-        let mut effects = Vec::new();
-        let mut consumers = Vec::new();
-        for index in 0..self.queues.len() {
-            let settings = self.consumer_settings(connection, index);
-            consumers.push(Consumer::new(settings, &mut effects));
-        }
-        self.perform(connection, 0, &mut effects)?;
-        Ok(Session {
-            consumers,
-            effects,
+        let mut session = Session {
+            channels: Vec::new(),
+            effects: Vec::new(),
             last_received_at: Instant::now(),
             last_sent_at: Instant::now(),
             is_shutting_down: false,
-        })
+        };
+        let limits = &self.shared.limits;
+        let backoff_range = (limits.reconnect_backoff, limits.amqp.backoff_max);
+        for index in 0..self.queues.len() {
+            let settings = self.consumer_settings(connection, index);
+            let generation = self.next_generation();
+            let effects = &mut session.effects;
+            let channel = QueueChannel::open(settings, generation, backoff_range, effects);
+            session.channels.push(channel);
+            self.perform_of_queue(connection, &mut session, index)?;
+        }
+        Ok(session)
+    }
+
+    /// Opens the failed channels again whose time has come.
+    fn reopen_channels(
+        &mut self,
+        connection: &Connection,
+        session: &mut Session,
+    ) -> Result<(), BrokerError> {
+        for index in 0..session.channels.len() {
+            let due = session.channels[index].reopen_due();
+            if due.is_some_and(|due| due <= Instant::now()) {
+                let settings = self.consumer_settings(connection, index);
+                let generation = self.next_generation();
+                session.channels[index].reopen(settings, generation, &mut session.effects);
+                self.perform_of_queue(connection, session, index)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn next_generation(&mut self) -> u64 {
+        self.generation += 1;
+        self.generation
     }
 
     fn consumer_settings(&self, connection: &Connection, index: usize) -> ConsumerSettings {
@@ -137,23 +189,23 @@
         }
     }
 
-    /// Settles a delivery, unless it was received on an earlier connection.
+    /// Settles a delivery, unless it was received before its channel was last opened.
     fn handle_answer(
         &mut self,
         connection: &Connection,
         session: &mut Session,
         answer: &DeliveryAnswer,
     ) -> Result<(), BrokerError> {
-        if answer.generation != self.generation {
-            return Ok(());
-        }
-        let mut effects = std::mem::take(&mut session.effects);
-        let Some((index, consumer)) = session.consumer_of_channel(answer.channel) else {
+        let Some(index) = session.queue_index(answer.channel) else {
             return Ok(());
         };
-        consumer.answer(answer.tag, &answer.answer, &mut effects);
-        session.effects = effects;
-        self.perform_and_record_send(connection, session, index)
+        let channel = &mut session.channels[index];
+        if channel.generation != answer.generation {
+            return Ok(());
+        }
+        let effects = &mut session.effects;
+        channel.consumer.answer(answer.tag, &answer.answer, effects);
+        self.perform_of_queue(connection, session, index)
     }
 
     fn handle_frame(
@@ -168,13 +220,11 @@
                 self.handle_connection_method(connection, method)
             }
             (channel, frame) => {
-                let mut effects = std::mem::take(&mut session.effects);
-                let Some((index, consumer)) = session.consumer_of_channel(channel) else {
-                    return Err(BrokerError::UnknownChannel(channel));
-                };
-                consumer.handle_frame(frame, &mut effects);
-                session.effects = effects;
-                self.perform_and_record_send(connection, session, index)
+                let index = session.queue_index(channel);
+                let index = index.ok_or(BrokerError::UnknownChannel(channel))?;
+                let consumer = &mut session.channels[index].consumer;
+                consumer.handle_frame(frame, &mut session.effects);
+                self.perform_of_queue(connection, session, index)
             }
         }
     }
@@ -198,33 +248,43 @@
         }
     }
 
-    /// Performs the effects of a consumer, and records the time if anything was sent.
-    fn perform_and_record_send(
+    /// Performs the effects of the consumer of this queue. Records the time if anything was sent,
+    /// and has a channel that has failed opened again later.
+    fn perform_of_queue(
         &mut self,
         connection: &Connection,
         session: &mut Session,
         index: usize,
     ) -> Result<(), BrokerError> {
-        if self.perform(connection, index, &mut session.effects)? {
+        let generation = session.channels[index].generation;
+        let performed = self.perform(connection, index, generation, &mut session.effects)?;
+        if performed.has_sent {
             session.last_sent_at = Instant::now();
         }
+        if let Some(error) = performed.channel_error {
+            let delay = session.channels[index].schedule_reopen(self.next_jitter());
+            warn!(self.log, "broker channel failed"; "queue" => &self.queues[index].name,
+                "error" => %error, "reopen_after_ms" => delay.as_millis() as u64);
+        }
         Ok(())
     }
 
-    /// Performs the effects of the consumer of this queue. Returns whether anything was sent.
     fn perform(
         &mut self,
         connection: &Connection,
         queue_index: usize,
+        generation: u64,
         effects: &mut Vec<ConsumerEffect>,
-    ) -> Result<bool, BrokerError> {
+    ) -> Result<Performed, BrokerError> {
         let mut frames = Vec::new();
         let mut channel_error = None;
         for effect in effects.drain(..) {
             match effect {
                 ConsumerEffect::Send(frame) => frames.push(*frame),
                 ConsumerEffect::Deliver(delivery) => {
-                    self.deliver(connection, queue_index, delivery)?;
+                    let responder =
+                        self.responder(connection, queue_index, generation, delivery.tag);
+                    self.deliver(queue_index, delivery, responder)?;
                 }
                 ConsumerEffect::MessageRejected(reason) => {
                     let queue = &self.queues[queue_index].name;
@@ -236,21 +296,20 @@
         if !frames.is_empty() {
             connection.send(&frames)?;
         }
-        match channel_error {
-            Some(error) => Err(error.into()),
-            None => Ok(!frames.is_empty()),
-        }
+        Ok(Performed {
+            has_sent: !frames.is_empty(),
+            channel_error,
+        })
     }
 
     /// Sends a delivery to the policy. Its arrival time is the time at which it was read.
     fn deliver(
         &mut self,
-        connection: &Connection,
         queue_index: usize,
         delivery: Delivery,
+        responder: Responder,
     ) -> Result<(), BrokerError> {
         let uid = RequestUid::from_number(self.next_random());
-        let responder = self.responder(connection, queue_index, delivery.tag);
         let queue = &self.queues[queue_index];
         let tenant = queue.tenant.as_deref();
         let caller = FIRST_CALLER_ID + (self.number << QUEUE_BITS) + queue_index as u64;
@@ -282,8 +341,13 @@
 
     /// Returns a responder that sends the answer to this actor without blocking, so that the policy
     /// never waits for a broker.
-    fn responder(&self, connection: &Connection, queue_index: usize, tag: u64) -> Responder {
-        let generation = self.generation;
+    fn responder(
+        &self,
+        connection: &Connection,
+        queue_index: usize,
+        generation: u64,
+        tag: u64,
+    ) -> Responder {
         let mailbox = self.mailbox.sender.clone();
         let has_lost_answers = connection.has_lost_answers.clone();
         Responder::new(move |answer| {
@@ -306,9 +370,10 @@
         session: &mut Session,
     ) -> Result<(), BrokerError> {
         session.is_shutting_down = true;
-        for (index, consumer) in session.consumers.iter_mut().enumerate() {
+        for index in 0..session.channels.len() {
+            let consumer = &mut session.channels[index].consumer;
             consumer.begin_shutdown(&mut session.effects);
-            self.perform(connection, index, &mut session.effects)?;
+            self.perform_of_queue(connection, session, index)?;
         }
         Ok(())
     }
--- a/tests/doubles/broker/mod.rs
+++ b/tests/doubles/broker/mod.rs
@@ -4,10 +4,11 @@
 mod connection;
 mod message;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 
+use channel::BrokerChannel;
 use connection::BrokerConnection;
 pub(crate) use message::Message;
 
@@ -18,6 +19,15 @@
 /// The queue of posts.
 pub(crate) const POSTS: &str = "posts";
 
+/// A fault of a consumer's channel.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum ChannelFault {
+    /// The broker cancels the consumer.
+    ConsumerCancelled,
+    /// The broker sends a method that is not allowed in the channel's state.
+    UnexpectedMethod,
+}
+
 /// The broker's queues, its counters and its configured behaviour. Tests read and change it under
 /// the lock.
 #[derive(Default)]
@@ -45,9 +55,27 @@
     pub unroutable: bool,
     /// True if publishes are never confirmed.
     pub hold_confirms: bool,
+    /// Queues that don't exist: the channel of their consumer is closed.
+    pub missing_queues: HashSet<String>,
+    /// Number of consumers that were rejected because their queue does not exist.
+    pub rejected_consumers: usize,
+    /// Faults of channels that are still to happen, with the queues of the channels.
+    pub channel_faults: Vec<(String, ChannelFault)>,
     links: Vec<TcpStream>,
 }
 
+impl BrokerState {
+    /// Returns the unsettled messages of a channel to their queue, marked as redelivered.
+    fn requeue_unsettled(&mut self, channel: BrokerChannel) {
+        self.unacked -= channel.unacked.len();
+        let queue = self.ready.entry(channel.queue).or_default();
+        for mut message in channel.unacked.into_values().rev() {
+            message.redelivered = true;
+            queue.push_front(message);
+        }
+    }
+}
+
 /// A broker on loopback.
 #[derive(Clone)]
 pub(crate) struct FakeBroker {
@@ -76,6 +104,14 @@
         ScratchFile::new("inventory.yaml", &text)
     }
 
+    /// Creates an inventory with the queues of [`FakeBroker::inventory`] and another queue of reads.
+    pub(crate) fn inventory_with(&self, queue: &str, prefetch: u16) -> ScratchFile {
+        let inventory = self.inventory(prefetch);
+        let text = std::fs::read_to_string(inventory.path()).expect("the inventory");
+        let host = format!("    c: {{queue: {queue}, class: statement-read}}\n");
+        ScratchFile::new("three-queues.yaml", &(text + &host))
+    }
+
     /// Appends a message to a queue.
     pub(crate) fn publish(&self, queue: &str, message: Message) {
         self.with(|state| {
