An inventory that ends within a line is an error, as it may be half-written

Cause: a name that is cut off is a valid name in YAML and in CSV, and inventory::read asked for nothing that shows the end of the file.

Change: the last line has to end with a line break. All other errors of a file come first, as before. The start stops with file and line, so the process in service keeps the last good inventory. Rejected: telling a cut from the inventory of the other process, since a file from which the last queue was removed looks the same.

Evidence: a_file_that_ends_within_a_line_is_rejected tries every length within a line of both formats; before: 'i.yaml taken with 216 bytes', after: passes.

--- a/src/inventory/error.rs
+++ b/src/inventory/error.rs
@@ -29,6 +29,9 @@
     /// The file's extension names no known format.
     #[error("not named .csv, .yaml or .yml")]
     UnknownExtension,
+    /// The last line has no line break, so that a tool may still be writing the file.
+    #[error("no line break at the end of the file, which may be half-written")]
+    Incomplete,
     /// The file is not valid CSV.
     #[error("malformed: {0}")]
     MalformedCsv(#[source] ::csv::Error),
--- a/src/inventory/mod.rs
+++ b/src/inventory/mod.rs
@@ -3,7 +3,8 @@
 //! The file has the form that configuration tools use: YAML with groups, hosts and variables, or
 //! CSV with a header row. Each host or row describes one queue. Variables that the node does not
 //! know are ignored, so that one inventory can serve several tools; a variable that is missing,
-//! invalid or duplicated is an [`InventoryError`] with its file, line and field.
+//! invalid or duplicated is an [`InventoryError`] with its file, line and field. A file whose last
+//! line has no line break may be half-written, and is an error as well.
 
 mod csv;
 mod error;
@@ -40,18 +41,40 @@
     env: impl Fn(&str) -> Option<String>,
 ) -> Result<Vec<BrokerQueue>, InventoryError> {
     let validator = RecordValidator { site, limits, env };
-    read_records(path)
-        .and_then(|records| validate_records(&records, &validator))
-        .map_err(|error| error.in_file(path))
+    read_queues(path, &validator).map_err(|error| error.in_file(path))
 }
 
-/// Reads the records of a file, whose extension determines its format.
-fn read_records(path: &Path) -> Result<Vec<Record>, ContentError> {
+fn read_queues<Env>(
+    path: &Path,
+    validator: &RecordValidator<'_, Env>,
+) -> Result<Vec<BrokerQueue>, ContentError>
+where
+    Env: Fn(&str) -> Option<String>,
+{
     let text = fs::read_to_string(path)
         .map_err(|error| ContentError::in_whole_file(InventoryProblem::Unreadable(error)))?;
+    let records = read_records(path, &text)?;
+    let queues = validate_records(&records, validator)?;
+    check_is_complete(&text)?;
+    Ok(queues)
+}
+
+/// Checks that the last line ends with a line break. A name that is cut off is a valid name of
+/// another queue, so nothing else shows that a file is half-written.
+fn check_is_complete(text: &str) -> Result<(), ContentError> {
+    if text.ends_with('\n') {
+        return Ok(());
+    }
+    let last_line = text.lines().count();
+    let problem = InventoryProblem::Incomplete;
+    Err(ContentError::new(last_line, "", problem))
+}
+
+/// Reads the records from the text of a file, whose extension determines its format.
+fn read_records(path: &Path, text: &str) -> Result<Vec<Record>, ContentError> {
     let reader = reader_for(path)
         .ok_or_else(|| ContentError::in_whole_file(InventoryProblem::UnknownExtension))?;
-    let records = reader(&text)?;
+    let records = reader(text)?;
     if records.is_empty() {
         return Err(ContentError::in_whole_file(InventoryProblem::Empty));
     }
--- a/tests/inventory.rs
+++ b/tests/inventory.rs
@@ -230,6 +230,24 @@
     ]);
 }
 
+/// Guards against `review/9`: a half-written file whose last name is cut off was taken for good.
+#[test]
+fn a_file_that_ends_within_a_line_is_rejected() {
+    const CSV_ROWS: &str = "reads,statement-read,h,u,PW,4\nposts,settlement-post,h,u,PW,16\n";
+    let csv = format!("{CSV_HEADER}{CSV_ROWS}");
+    for (name, text) in [("i.yaml", YAML), ("i.csv", csv.as_str())] {
+        load(name, text).expect("the whole file is valid");
+        let cuts_within_lines = (1..text.len()).filter(|length| !text[..*length].ends_with('\n'));
+        for length in cuts_within_lines {
+            let result = load(name, &text[..length]);
+            assert!(result.is_err(), "{name} taken with {length} bytes");
+        }
+    }
+    let cut = csv.strip_suffix("6\n").expect("the last digits");
+    let expected = ":3: no line break at the end of the file, which may be half-written";
+    assert!(load_error("i.csv", cut).contains(expected));
+}
+
 #[test]
 fn the_example_under_deploy_is_valid_for_its_site() {
     let mut settings = small_site_settings();
