A draining AMQP consumer hands back only once its cancel is confirmed

Cause: Consumer::hand_back published a copy while the subscription was still in force. The broker pushed the copy to the same node, which copied it again, to its end; the last copies stood in the queue beside their unsettled originals, which the broker delivers again.

Change: deliveries that never ran are held until the cancel is confirmed, at most as many as the prefetch. From 500 ms before the process's end on nothing is handed back; the connection closes once each publish is confirmed, and the rest is the broker's. Requeued reads, which went round in the same way, are held as well. The close of the connection ignores what the broker still pushes. Rejected: running what comes within the drain grace, which another node can do.

The consumer's model test now also checks that nothing is handed back while subscribed or after the end of the hand-backs, and that a connection ends only when nothing is unconfirmed or unanswered. It works because a copy can reach this consumer no more, and none is published so late that its confirm would miss the process's end.

--- a/src/amqp/broker/connection.rs
+++ b/src/amqp/broker/connection.rs
@@ -85,11 +85,7 @@
     /// Waits until `deadline` for the next method of the connection itself.
     pub(super) fn next_method(&self, deadline: Instant) -> Result<Method, BrokerError> {
         loop {
-            let frame = select! {
-                recv(self.frames) -> frame => frame.map_err(|_| BrokerError::ConnectionLost)?,
-                recv(at(deadline)) -> _ => return Err(BrokerError::TimedOut),
-            };
-            match frame {
+            match self.next_frame(deadline)? {
                 AMQPFrame::Method(CONNECTION_CHANNEL, AMQPClass::Connection(method)) => {
                     return self.check_not_closed(method);
                 }
@@ -99,6 +95,28 @@
         }
     }
 
+    /// Waits until `deadline` for the answer to a close of the connection. Everything else that the
+    /// broker still sends is ignored.
+    pub(super) fn wait_for_close_ok(&self, deadline: Instant) -> Result<(), BrokerError> {
+        loop {
+            let AMQPFrame::Method(CONNECTION_CHANNEL, AMQPClass::Connection(method)) =
+                self.next_frame(deadline)?
+            else {
+                continue;
+            };
+            if let Method::CloseOk(_) = self.check_not_closed(method)? {
+                return Ok(());
+            }
+        }
+    }
+
+    fn next_frame(&self, deadline: Instant) -> Result<AMQPFrame, BrokerError> {
+        select! {
+            recv(self.frames) -> frame => frame.map_err(|_| BrokerError::ConnectionLost),
+            recv(at(deadline)) -> _ => Err(BrokerError::TimedOut),
+        }
+    }
+
     fn check_not_closed(&self, method: Method) -> Result<Method, BrokerError> {
         let Method::Close(close) = method else {
             return Ok(method);
--- a/src/amqp/broker/session.rs
+++ b/src/amqp/broker/session.rs
@@ -11,9 +11,7 @@
 use crossbeam_channel::{at, never, select_biased, Receiver};
 use slog::{info, warn};
 
-use super::super::consumer::{
-    ChannelError, ChannelState, ConsumerEffect, ConsumerSettings, Delivery,
-};
+use super::super::consumer::{ChannelError, ConsumerEffect, ConsumerSettings, Delivery};
 use super::connection::{Connection, CONNECTION_CHANNEL};
 use super::error::BrokerError;
 use super::queue_channel::QueueChannel;
@@ -48,6 +46,9 @@
     last_received_at: Instant,
     last_sent_at: Instant,
     is_shutting_down: bool,
+    /// Time in a shutdown from which on no delivery is handed back any more; `None` before the
+    /// shutdown and once that time has passed.
+    hand_backs_end_at: Option<Instant>,
 }
 
 impl Session {
@@ -58,10 +59,17 @@
             .sum()
     }
 
-    fn is_closed(&self) -> bool {
+    fn has_shut_down(&self) -> bool {
         self.channels
             .iter()
-            .all(|channel| channel.consumer.channel_state() == ChannelState::Closed)
+            .all(|channel| channel.consumer.has_shut_down())
+    }
+
+    fn end_hand_backs(&mut self) {
+        self.hand_backs_end_at = None;
+        for channel in &mut self.channels {
+            channel.consumer.end_hand_backs();
+        }
     }
 
     /// Returns the index of the queue of this channel.
@@ -100,6 +108,7 @@
             let heartbeat_due = at(session.last_sent_at + interval);
             let silence_limit = at(session.last_received_at + interval * MAX_SILENT_INTERVALS);
             let next_reopen = session.next_reopen();
+            let hand_backs_end = session.hand_backs_end_at.map_or_else(never, at);
             // Answers have priority over received frames.
             select_biased! {
                 recv(self.mailbox.receiver) -> message => {
@@ -118,6 +127,7 @@
                 }
                 recv(silence_limit) -> _ => return Err(BrokerError::NoHeartbeat),
                 recv(next_reopen) -> _ => self.reopen_channels(connection, &mut session)?,
+                recv(hand_backs_end) -> _ => session.end_hand_backs(),
             }
             if connection.has_lost_answers.load(SeqCst) {
                 return Err(BrokerError::AnswersLost);
@@ -126,7 +136,7 @@
                 self.begin_shutdown(connection, &mut session)?;
             }
             self.set_unsettled(session.unsettled_count());
-            if session.is_shutting_down && session.is_closed() {
+            if session.is_shutting_down && session.has_shut_down() {
                 return self.close(connection);
             }
         }
@@ -140,6 +150,7 @@
             last_received_at: Instant::now(),
             last_sent_at: Instant::now(),
             is_shutting_down: false,
+            hand_backs_end_at: None,
         };
         let limits = &self.shared.limits;
         let backoff_range = (limits.reconnect_backoff, limits.amqp.backoff_max);
@@ -370,6 +381,7 @@
         session: &mut Session,
     ) -> Result<(), BrokerError> {
         session.is_shutting_down = true;
+        session.hand_backs_end_at = self.shared.hand_backs_end_at.get().copied();
         for index in 0..session.channels.len() {
             let consumer = &mut session.channels[index].consumer;
             consumer.begin_shutdown(&mut session.effects);
@@ -378,7 +390,7 @@
         Ok(())
     }
 
-    /// Closes the connection once all channels are closed.
+    /// Closes the connection. The broker delivers again what is still unsettled.
     fn close(&self, connection: &Connection) -> Result<(), BrokerError> {
         let reply_text = ShortString::try_new("leaving").unwrap_or_default();
         connection.send_method(Method::Close(Close {
@@ -388,7 +400,7 @@
             method_id: 0,
         }))?;
         let deadline = Instant::now() + self.shared.limits.amqp.handshake_timeout;
-        while !matches!(connection.next_method(deadline)?, Method::CloseOk(_)) {}
+        connection.wait_for_close_ok(deadline)?;
         info!(self.log, "broker connection closed"; "unsettled" => self.unsettled);
         Ok(())
     }
--- a/src/amqp/consumer/channel.rs
+++ b/src/amqp/consumer/channel.rs
@@ -132,9 +132,18 @@
             let consumer_tag = cancel.consumer_tag;
             self.send_basic(Basic::CancelOk(basic::CancelOk { consumer_tag }), effects);
         }
-        self.state = ChannelState::Cancelled;
         let error = ChannelError::CancelledByBroker;
         effects.push(ConsumerEffect::ChannelFailed(error));
+        self.handle_cancelled(effects);
+    }
+
+    /// Processes the end of the subscription: nothing more is delivered on this channel, so what
+    /// has waited for that is handed back.
+    pub(super) fn handle_cancelled(&mut self, effects: &mut Vec<ConsumerEffect>) {
+        self.state = ChannelState::Cancelled;
+        for tag in std::mem::take(&mut self.awaiting_hand_back) {
+            self.hand_back(tag, effects);
+        }
         self.close_if_settled(effects);
     }
 
@@ -153,6 +162,7 @@
         self.incoming = None;
         self.unsettled.clear();
         self.awaiting_confirm.clear();
+        self.awaiting_hand_back.clear();
     }
 
     fn consumer_tag(&self) -> ShortString {
--- a/src/amqp/consumer/mod.rs
+++ b/src/amqp/consumer/mod.rs
@@ -143,6 +143,11 @@
     /// Publish numbers of messages that the broker returned as unroutable.
     returned: Vec<u64>,
     is_shutting_down: bool,
+    /// Tags of deliveries that never ran and are to be handed back once the broker has confirmed
+    /// the cancel. Before that it could deliver them to this consumer again.
+    awaiting_hand_back: Vec<u64>,
+    /// True if deliveries can still be handed back before the process ends.
+    may_hand_back: bool,
 }
 
 impl Consumer {
@@ -157,6 +162,8 @@
             awaiting_confirm: BTreeMap::new(),
             returned: Vec::new(),
             is_shutting_down: false,
+            awaiting_hand_back: Vec::new(),
+            may_hand_back: true,
         };
         consumer.send(AMQPClass::Channel(Channel::Open(Open {})), effects);
         consumer
@@ -205,8 +212,7 @@
                 }
             }
             Basic::CancelOk(_) if self.state == ChannelState::Cancelling => {
-                self.state = ChannelState::Cancelled;
-                self.close_if_settled(effects);
+                self.handle_cancelled(effects);
             }
             // The broker cancelled the consumer before it received the consumer's own cancel.
             Basic::CancelOk(_) if self.state == ChannelState::Cancelled => {}
@@ -236,6 +242,22 @@
         }
     }
 
+    /// Stops handing back deliveries, shortly before the process ends: a copy whose confirmation
+    /// would come too late would run beside its original. What has not been handed back stays
+    /// unsettled, and the broker delivers it again.
+    pub fn end_hand_backs(&mut self) {
+        self.may_hand_back = false;
+    }
+
+    /// Returns whether nothing is left to do in a shutdown: the channel is closed, or what is
+    /// unsettled is left to the broker.
+    pub fn has_shut_down(&self) -> bool {
+        let is_left_to_broker = !self.may_hand_back
+            && self.awaiting_confirm.is_empty()
+            && self.unsettled.len() == self.awaiting_hand_back.len();
+        self.state == ChannelState::Closed || is_left_to_broker
+    }
+
     fn send(&self, method: AMQPClass, effects: &mut Vec<ConsumerEffect>) {
         let frame = AMQPFrame::Method(self.settings.channel, method);
         effects.push(ConsumerEffect::Send(Box::new(frame)));
--- a/src/amqp/consumer/settlement.rs
+++ b/src/amqp/consumer/settlement.rs
@@ -8,7 +8,7 @@
 use super::reply::{
     copy_properties, header, Reply, ReplyStatus, COPY_NUMBER_HEADER, HANDED_BACK_HEADER,
 };
-use super::{Consumer, ConsumerEffect};
+use super::{ChannelState, Consumer, ConsumerEffect};
 use crate::node::{Answer, Outcome};
 
 /// The id of the class `basic`, whose methods carry content.
@@ -102,18 +102,29 @@
         self.publish(message, action, effects);
     }
 
-    /// Returns a delivery that never ran to its queue. A message that must not run twice is not
-    /// requeued but published as a copy: a requeued message is marked as redelivered, and then no
-    /// consumer may run it, while a copy has no such mark. The original is settled only once the
-    /// broker has the copy.
-    fn hand_back(&mut self, tag: u64, effects: &mut Vec<ConsumerEffect>) {
-        if self.settings.is_idempotent {
-            return self.reject(tag, true, effects);
-        }
+    /// Returns a delivery that never ran to its queue, once the broker has confirmed the cancel.
+    /// Until then the broker may deliver what is returned to this consumer again.
+    pub(super) fn hand_back(&mut self, tag: u64, effects: &mut Vec<ConsumerEffect>) {
         let Some(delivery) = self.unsettled.get_mut(&tag) else {
             return;
         };
         delivery.is_settling = true;
+        if self.state != ChannelState::Cancelled || !self.may_hand_back {
+            self.awaiting_hand_back.push(tag);
+        } else if self.settings.is_idempotent {
+            self.reject(tag, true, effects);
+        } else {
+            self.publish_copy(tag, effects);
+        }
+    }
+
+    /// Publishes a copy of a delivery to its queue. A message that must not run twice is not
+    /// requeued: a requeued message is marked as redelivered, and then no consumer may run it, while
+    /// a copy has no such mark. The original is settled only once the broker has the copy.
+    fn publish_copy(&mut self, tag: u64, effects: &mut Vec<ConsumerEffect>) {
+        let Some(delivery) = self.unsettled.get_mut(&tag) else {
+            return;
+        };
         let hand_back_count = match header(&delivery.properties, HANDED_BACK_HEADER) {
             Some(AMQPValue::LongLongInt(hand_back_count)) => *hand_back_count,
             _ => 0,
--- a/src/amqp/mod.rs
+++ b/src/amqp/mod.rs
@@ -10,7 +10,8 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{bounded, Sender};
 use slog::{o, Logger};
@@ -33,6 +34,8 @@
     policy: Sender<PolicyMessage>,
     seed: u64,
     is_shutting_down: AtomicBool,
+    /// Time in a shutdown from which on no delivery is handed back any more.
+    hand_backs_end_at: OnceLock<Instant>,
     /// Number of broker actors that have not ended.
     open_brokers: AtomicUsize,
     /// Number of unsettled deliveries of all brokers.
@@ -68,6 +71,7 @@
             policy: policy.clone(),
             seed,
             is_shutting_down: AtomicBool::new(false),
+            hand_backs_end_at: OnceLock::new(),
             open_brokers: AtomicUsize::new(groups.len()),
             unsettled: AtomicUsize::new(0),
         });
@@ -87,8 +91,12 @@
         Ok(AmqpConsumers { shared, mailboxes })
     }
 
-    /// Stops consuming. Messages that are still delivered are handed back without a run.
-    pub fn begin_shutdown(&self) {
+    /// Stops consuming. Messages that are still delivered are handed back without a run, except
+    /// shortly before the process ends, which it does after `time_left`.
+    pub fn begin_shutdown(&self, time_left: Duration) {
+        let hand_back_time = time_left.saturating_sub(self.shared.limits.amqp.hand_back_margin);
+        let hand_backs_end_at = Instant::now() + hand_back_time;
+        let _ = self.shared.hand_backs_end_at.set(hand_backs_end_at);
         self.shared.is_shutting_down.store(true, SeqCst);
         for mailbox in &self.mailboxes {
             // If the mailbox is full, the actor checks the flag after each message in it.
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -310,6 +310,9 @@
     pub backoff_max: Duration,
     /// Stack size in bytes of a thread that decodes frames.
     pub stack_bytes: usize,
+    /// Time before the end of the process from which on no delivery is handed back, so that the
+    /// broker can confirm the copies that have been published.
+    pub hand_back_margin: Duration,
     /// Maximum prefetch that an inventory may configure. It bounds the number of messages that a
     /// broker can have the node keep.
     pub max_prefetch: u16,
@@ -325,6 +328,7 @@
             heartbeat_interval: Duration::from_secs(10),
             backoff_max: Duration::from_secs(5),
             stack_bytes: 8 * 1024 * 1024,
+            hand_back_margin: Duration::from_millis(500),
             max_prefetch: 1024,
         }
     }
--- a/src/run_loop.rs
+++ b/src/run_loop.rs
@@ -290,7 +290,7 @@
             self.actors.json_rpc.stop_listening();
         }
         self.actors.json_rpc.send_close_notices();
-        self.actors.amqp.begin_shutdown();
+        self.actors.amqp.begin_shutdown(time_left);
         Shutdown {
             is_replaced,
             time_left,
--- a/tests/amqp_consumer_model.rs
+++ b/tests/amqp_consumer_model.rs
@@ -30,11 +30,13 @@
     Confirm { index: usize, is_accepted: bool },
     /// The node begins to shut down.
     Shutdown,
+    /// The node stops handing back deliveries.
+    EndHandBacks,
 }
 
 impl Arbitrary for ChannelStep {
     fn arbitrary(g: &mut Gen) -> ChannelStep {
-        match u8::arbitrary(g) % 16 {
+        match u8::arbitrary(g) % 17 {
             0..=4 => ChannelStep::BrokerAnswer,
             5..=8 => ChannelStep::Deliver {
                 has_reply_to: bool::arbitrary(g),
@@ -47,7 +49,8 @@
                 index: usize::arbitrary(g),
                 is_accepted: bool::arbitrary(g),
             },
-            _ => ChannelStep::Shutdown,
+            15 => ChannelStep::Shutdown,
+            _ => ChannelStep::EndHandBacks,
         }
     }
 }
@@ -67,6 +70,7 @@
     delivered: u64,
     answered: u64,
     is_active: bool,
+    may_hand_back: bool,
 }
 
 impl Model {
@@ -103,18 +107,21 @@
                 delivery_tag: tag,
                 multiple: false,
             })
-            | Basic::Nack(basic::Nack {
-                delivery_tag: tag,
-                multiple: false,
-                ..
-            })
             | Basic::Reject(basic::Reject {
                 delivery_tag: tag, ..
             }) => self.unsettled.remove(&tag) && !self.in_flight.contains(&tag),
-            Basic::Publish(_) => {
+            // No delivery is handed back while the broker may deliver it to this consumer.
+            Basic::Nack(basic::Nack {
+                delivery_tag: tag,
+                multiple: false,
+                ..
+            }) => self.unsettled.remove(&tag) && !self.in_flight.contains(&tag) && !self.is_active,
+            Basic::Publish(publish) => {
                 self.published += 1;
                 self.unconfirmed.push(self.published);
-                true
+                // No copy is handed back while the broker may deliver it to this consumer.
+                let is_copy = publish.mandatory;
+                !is_copy || (!self.is_active && self.may_hand_back)
             }
             other => {
                 self.requests.push(AMQPClass::Basic(other));
@@ -174,7 +181,10 @@
         CheckedConsumer {
             consumer,
             effects,
-            model: Model::default(),
+            model: Model {
+                may_hand_back: true,
+                ..Model::default()
+            },
         }
     }
 
@@ -200,6 +210,10 @@
                 self.confirm(index, is_accepted);
             }
             ChannelStep::Shutdown => self.consumer.begin_shutdown(&mut self.effects),
+            ChannelStep::EndHandBacks => {
+                self.consumer.end_hand_backs();
+                self.model.may_hand_back = false;
+            }
             _ => {}
         }
     }
@@ -281,6 +295,10 @@
             // At most one answer or one copy is published for each delivery.
             && self.model.published <= self.model.answered
             && (!is_closed || self.model.unsettled.is_empty())
+            // The connection may end only when no publish can still be confirmed, and when every
+            // delivery is answered.
+            && (!self.consumer.has_shut_down()
+                || (self.model.unconfirmed.is_empty() && self.model.in_flight.is_empty()))
     }
 }
 
--- a/tests/amqp_redelivery.rs
+++ b/tests/amqp_redelivery.rs
@@ -7,8 +7,12 @@
 
 use amq_protocol::types::{AMQPValue, FieldTable};
 use amqp_node::*;
-use doubles::broker::{Message, POSTS, READS};
+use doubles::broker::{FakeBroker, Message, POSTS, READS};
 use doubles::*;
+use test_doubles::Node;
+
+/// Time from SIGTERM to the end of a node, where a test waits for all of it.
+const SHORT_STOP_MS: u64 = 1500;
 
 /// Guards against a second run within one process: a message with a key that has run is
 /// dead-lettered, whether the first run succeeded or failed.
@@ -188,6 +192,49 @@
     stop_node(&broker, &mut next);
 }
 
+/// Guards against `review/10`: a broker that keeps pushing was handed copies of messages whose
+/// originals it delivered again as well, so that a message got two contrary answers.
+#[test]
+fn broker_that_ignores_the_cancel_gets_no_copies_and_each_message_has_one_answer() {
+    const MESSAGES: usize = 12;
+    let broker = FakeBroker::start();
+    let inventory = broker.inventory(4);
+    let mut node = Node::start_with(Some(&inventory), |config| {
+        config["stop_ms"] = SHORT_STOP_MS.into();
+    });
+    wait_until("both queues are consumed", || {
+        broker.with(|state| state.consumers) == 2
+    });
+    broker.with(|state| state.ignores_cancels = true);
+    node.terminate();
+    wait_until("the node cancels both consumers", || {
+        broker.with(|state| state.ignored_cancels) == 2
+    });
+    for n in 0..MESSAGES {
+        broker.publish(POSTS, Message::new(&format!("serve:{n}")));
+    }
+    assert_eq!(node.wait_for_exit().code(), Some(0));
+    wait_until("the broker has noticed the end of the connection", || {
+        broker.with(|state| state.unacked) == 0
+    });
+    assert_eq!(broker.with(|state| state.copies), 0);
+
+    broker.with(|state| state.ignores_cancels = false);
+    let mut next = start_node(&broker, 4);
+    wait_until("each message is answered", || {
+        reply_count(&broker) == MESSAGES
+    });
+    for n in 0..MESSAGES {
+        let body = format!("serve:{n}");
+        let about = format!("about {body}");
+        let is_about = |reply: &Message| reply.correlation() == about;
+        let answers = broker.with(|state| state.replies.iter().filter(|r| is_about(r)).count());
+        let runs = node.executor.run_count(&body) + next.executor.run_count(&body);
+        assert!(answers == 1 && runs <= 1, "{body}: {answers}, {runs}");
+    }
+    stop_node(&broker, &mut next);
+}
+
 /// Guards against properties of a copy that the broker would act on again: a user id of another
 /// user closes the channel, and `CC` would send the message to other queues once more.
 #[test]
--- a/tests/doubles/broker/connection.rs
+++ b/tests/doubles/broker/connection.rs
@@ -297,6 +297,10 @@
         let Some(channel) = self.channels.get_mut(&id) else {
             return;
         };
+        if lock(&self.state).ignores_cancels {
+            lock(&self.state).ignored_cancels += 1;
+            return;
+        }
         let mut in_transit = Vec::new();
         lock(&self.state).push_on_cancel.retain(|(queue, message)| {
             let is_other_queue = *queue != channel.queue;
@@ -395,6 +399,7 @@
         let is_returned = publish.mandatory && state.unroutable;
         let is_confirmed = !state.hold_confirms;
         if !is_returned && [READS, POSTS].contains(&queue.as_str()) {
+            state.copies += 1;
             state
                 .ready
                 .entry(queue)
--- a/tests/doubles/broker/mod.rs
+++ b/tests/doubles/broker/mod.rs
@@ -49,6 +49,12 @@
     pub violations: Vec<String>,
     /// Messages to deliver between a cancel and its reply, with their queues.
     pub push_on_cancel: Vec<(String, Message)>,
+    /// True if cancels are not answered, and their consumers still get deliveries.
+    pub ignores_cancels: bool,
+    /// Number of cancels that were not answered.
+    pub ignored_cancels: usize,
+    /// Number of copies that were published back to their queue.
+    pub copies: usize,
     /// Heartbeat interval offered to consumers, in seconds. The broker itself sends none.
     pub heartbeat: u16,
     /// True if copies that are published back to their queue are returned as unroutable.
