Messages in flight keep their headers encoded, as decoded ones fill the memory

Cause: UnsettledDelivery kept the decoded properties of each message in flight, some 100 kB for 6 kB on the wire.

Change: a delivery keeps its reply queue and correlation id; what must not run twice keeps its properties as encoded, at most a frame, and decodes them for a copy. Rejected: a limit on header fields, which would dead-letter sound messages.

--- a/src/amqp/consumer/incoming.rs
+++ b/src/amqp/consumer/incoming.rs
@@ -4,6 +4,7 @@
 use amq_protocol::protocol::basic::{self, AMQPMethod as Basic, AMQPProperties};
 use amq_protocol::types::AMQPValue;
 
+use super::original_message::OriginalMessage;
 use super::reply::{header, COPY_NUMBER_HEADER};
 use super::settlement::UnsettledDelivery;
 use super::{ChannelError, Consumer, ConsumerEffect, Delivery, InvalidMessage};
@@ -108,21 +109,18 @@
         effects: &mut Vec<ConsumerEffect>,
     ) {
         let message_id = message_id(&message.properties);
-        if let Some(reason) = self.check_message(&message, message_id.as_deref()) {
-            effects.push(ConsumerEffect::MessageRejected(reason));
-            let reject = basic::Reject {
-                delivery_tag: tag,
-                requeue: false,
-            };
-            return self.send_basic(Basic::Reject(reject), effects);
-        }
-        let copied_body = if self.settings.is_idempotent {
-            Vec::new()
-        } else {
-            message.body.clone()
+        let delivery = match self.unsettled_delivery(&message, message_id.as_deref()) {
+            Ok(delivery) => delivery,
+            Err(reason) => {
+                effects.push(ConsumerEffect::MessageRejected(reason));
+                let reject = basic::Reject {
+                    delivery_tag: tag,
+                    requeue: false,
+                };
+                return self.send_basic(Basic::Reject(reject), effects);
+            }
         };
-        let unsettled = UnsettledDelivery::new(message.properties, copied_body);
-        self.unsettled.insert(tag, unsettled);
+        self.unsettled.insert(tag, delivery);
         effects.push(ConsumerEffect::Deliver(Delivery {
             tag,
             is_redelivered,
@@ -132,18 +130,24 @@
         }));
     }
 
-    fn check_message(
+    /// Returns the delivery of a message that can be a request.
+    fn unsettled_delivery(
         &self,
         message: &IncomingMessage,
         message_id: Option<&str>,
-    ) -> Option<InvalidMessage> {
+    ) -> Result<UnsettledDelivery, InvalidMessage> {
         if message.is_too_long {
-            Some(InvalidMessage::TooLong)
-        } else if !self.settings.is_idempotent && message_id.is_none() {
-            Some(InvalidMessage::NoMessageId)
-        } else {
-            None
+            return Err(InvalidMessage::TooLong);
+        }
+        if self.settings.is_idempotent {
+            return Ok(UnsettledDelivery::new(&message.properties, None));
+        }
+        if message_id.is_none() {
+            return Err(InvalidMessage::NoMessageId);
         }
+        let original = OriginalMessage::new(message.properties.clone(), &message.body)
+            .map_err(|_| InvalidMessage::UnencodableProperties)?;
+        Ok(UnsettledDelivery::new(&message.properties, Some(original)))
     }
 }
 
--- a/src/amqp/consumer/mod.rs
+++ b/src/amqp/consumer/mod.rs
@@ -5,6 +5,7 @@
 
 mod channel;
 mod incoming;
+mod original_message;
 mod reply;
 mod settlement;
 
@@ -86,6 +87,9 @@
     /// The message has no id, which is required if it must not run twice.
     #[error("no message_id on a message that must not run twice")]
     NoMessageId,
+    /// The message's properties can't be encoded again, so that it could not be handed back.
+    #[error("properties that can't be encoded")]
+    UnencodableProperties,
 }
 
 /// Why a channel failed.
--- a/src/amqp/consumer/reply.rs
+++ b/src/amqp/consumer/reply.rs
@@ -2,7 +2,7 @@
 //! that are handed back.
 
 use amq_protocol::protocol::basic::AMQPProperties;
-use amq_protocol::types::{AMQPValue, FieldTable};
+use amq_protocol::types::{AMQPValue, FieldTable, ShortString};
 
 use super::short_string;
 use crate::node::{Answer, Failure, Outcome};
@@ -96,17 +96,17 @@
         self.failure == Some(Failure::MayHaveRun)
     }
 
-    /// Returns the properties of the reply to a delivery with the properties `delivery`.
+    /// Returns the properties of the reply to a delivery with this correlation id.
     pub(super) fn properties(
         &self,
         answer: &Answer,
-        delivery: &AMQPProperties,
+        correlation_id: Option<&ShortString>,
         is_idempotent: bool,
     ) -> AMQPProperties {
         let mut properties = AMQPProperties::default()
             .with_headers(self.headers(answer, is_idempotent))
             .with_type(short_string(self.status.as_str()));
-        if let Some(id) = delivery.correlation_id() {
+        if let Some(id) = correlation_id {
             properties = properties.with_correlation_id(id.clone());
         }
         properties
--- a/src/amqp/consumer/settlement.rs
+++ b/src/amqp/consumer/settlement.rs
@@ -5,6 +5,7 @@
 use amq_protocol::protocol::basic::{self, AMQPMethod as Basic, AMQPProperties};
 use amq_protocol::types::{AMQPValue, ShortString};
 
+use super::original_message::OriginalMessage;
 use super::reply::{
     copy_properties, header, Reply, ReplyStatus, COPY_NUMBER_HEADER, HANDED_BACK_HEADER,
 };
@@ -12,34 +13,36 @@
 use crate::node::{Answer, Outcome};
 
 /// The id of the class `basic`, whose methods carry content.
-const BASIC_CLASS: u16 = 60;
+pub(super) const BASIC_CLASS: u16 = 60;
 
 /// Number of bytes of a frame around its payload.
 const FRAME_OVERHEAD_BYTES: usize = 8;
 
 /// A delivery that is not settled.
 pub(super) struct UnsettledDelivery {
-    properties: AMQPProperties,
-    /// The body for a copy if the message must not run twice, otherwise empty.
-    body: Vec<u8>,
-    /// True if the settlement is waiting for the confirmation of a publish.
+    /// The queue for the reply, if there is one.
+    reply_to: Option<ShortString>,
+    correlation_id: Option<ShortString>,
+    /// The message for a copy, if it must not run twice. Other messages are requeued.
+    original: Option<OriginalMessage>,
+    /// True if the settlement is waiting for the confirmation of a publish, or of the cancel.
     is_settling: bool,
 }
 
 impl UnsettledDelivery {
-    pub(super) fn new(properties: AMQPProperties, body: Vec<u8>) -> UnsettledDelivery {
+    /// Creates a delivery of a message with these properties, which are not kept.
+    pub(super) fn new(
+        properties: &AMQPProperties,
+        original: Option<OriginalMessage>,
+    ) -> UnsettledDelivery {
+        let reply_to = properties.reply_to().clone();
         UnsettledDelivery {
-            properties,
-            body,
+            reply_to: reply_to.filter(|queue| !queue.as_str().is_empty()),
+            correlation_id: properties.correlation_id().clone(),
+            original,
             is_settling: false,
         }
     }
-
-    /// Returns the queue for the reply, if there is one.
-    fn reply_to(&self) -> Option<ShortString> {
-        let reply_to = self.properties.reply_to().clone();
-        reply_to.filter(|queue| !queue.as_str().is_empty())
-    }
 }
 
 /// The action on the delivery with this tag once a publish is confirmed.
@@ -78,7 +81,7 @@
             return self.hand_back(tag, effects);
         }
         let reply = Reply::new(&answer.outcome);
-        let Some(reply_to) = delivery.reply_to() else {
+        let Some(reply_to) = delivery.reply_to.clone() else {
             // Without a reply queue, a result is dropped. An error is dead-lettered, as no client
             // would receive it.
             return match reply.status {
@@ -91,7 +94,7 @@
         let message = OutgoingMessage {
             routing_key: reply_to,
             is_mandatory: false,
-            properties: reply.properties(answer, &delivery.properties, is_idempotent),
+            properties: reply.properties(answer, delivery.correlation_id.as_ref(), is_idempotent),
             body: &reply.body,
         };
         let action = if reply.may_have_run() {
@@ -111,21 +114,27 @@
         delivery.is_settling = true;
         if self.state != ChannelState::Cancelled || !self.may_hand_back {
             self.awaiting_hand_back.push(tag);
-        } else if self.settings.is_idempotent {
-            self.reject(tag, true, effects);
         } else {
-            self.publish_copy(tag, effects);
+            match delivery.original.take() {
+                Some(original) => self.publish_copy(tag, &original, effects),
+                None => self.reject(tag, true, effects),
+            }
         }
     }
 
     /// Publishes a copy of a delivery to its queue. A message that must not run twice is not
     /// requeued: a requeued message is marked as redelivered, and then no consumer may run it, while
     /// a copy has no such mark. The original is settled only once the broker has the copy.
-    fn publish_copy(&mut self, tag: u64, effects: &mut Vec<ConsumerEffect>) {
-        let Some(delivery) = self.unsettled.get_mut(&tag) else {
-            return;
+    fn publish_copy(
+        &mut self,
+        tag: u64,
+        original: &OriginalMessage,
+        effects: &mut Vec<ConsumerEffect>,
+    ) {
+        let Some(properties) = original.properties() else {
+            return self.reject(tag, true, effects);
         };
-        let hand_back_count = match header(&delivery.properties, HANDED_BACK_HEADER) {
+        let hand_back_count = match header(&properties, HANDED_BACK_HEADER) {
             Some(AMQPValue::LongLongInt(hand_back_count)) => *hand_back_count,
             _ => 0,
         };
@@ -133,12 +142,11 @@
             (HANDED_BACK_HEADER, hand_back_count + 1),
             (COPY_NUMBER_HEADER, self.published as i64 + 1),
         ];
-        let body = std::mem::take(&mut delivery.body);
         let message = OutgoingMessage {
             routing_key: self.settings.queue.clone(),
             is_mandatory: true,
-            properties: copy_properties(&delivery.properties, added_headers),
-            body: &body,
+            properties: copy_properties(&properties, added_headers),
+            body: original.body(),
         };
         self.publish(message, ConfirmAction::HandBack(tag), effects);
     }
