Queued requests of a client whose connection has ended are not run

Cause: ClientListener::remove told nobody of the requests open on the connection; they stayed queued at the policy and ran in their turn.

Change: the listener hands the data of a removed connection with open requests to its handler (connection_lost); the policy actor drops the requests that were not sent to run and that no other has joined, as after a cancellation. Runs go on, as they may have had their effect. Rejected: ending them at the end of the input, which a half-close has too, and its client waits for its answers.

--- a/crates/client-listener/src/closing.rs
+++ b/crates/client-listener/src/closing.rs
@@ -69,7 +69,8 @@
         handler.protocol_violated(&connection.stream, answer);
     }
 
-    /// Removes a connection and closes its socket.
+    /// Removes a connection and closes its socket. Requests that are still open on it can't be
+    /// answered any more.
     pub(crate) fn remove(&mut self, id: ConnectionId) {
         let Some(connection) = self.connections.remove(&id) else {
             return;
@@ -86,6 +87,9 @@
         self.counters
             .connections
             .store(self.connections.len(), SeqCst);
+        if connection.state.open_request_count() > 0 {
+            self.removed.push(connection.data);
+        }
     }
 
     fn connection_ids(&self) -> Vec<ConnectionId> {
--- a/crates/client-listener/src/handler.rs
+++ b/crates/client-listener/src/handler.rs
@@ -99,6 +99,10 @@
     /// Called at the end of each step.
     fn after_turns(&mut self, _clients: &mut ClientListener<Self>, _now: Instant) {}
 
+    /// Called at the end of the step in which a connection was removed with requests open on it,
+    /// with its data. These requests can't be answered any more.
+    fn connection_lost(&mut self, _data: Self::ConnectionData) {}
+
     /// Called after a connection was accepted and closed again because of this error.
     fn connection_rejected(&self, error: &io::Error);
 
--- a/crates/client-listener/src/listener.rs
+++ b/crates/client-listener/src/listener.rs
@@ -53,6 +53,8 @@
     pub(crate) idle_connections: IdleConnections,
     /// Connections that wait for their turn.
     pub(crate) turn_queue: VecDeque<ConnectionId>,
+    /// Data of connections that were removed in this step with requests open on them.
+    pub(crate) removed: Vec<H::ConnectionData>,
     /// Timers of connections. An entry that differs from the current timer of its connection is
     /// skipped.
     pub(crate) timers: BinaryHeap<Reverse<(Instant, ConnectionId)>>,
@@ -84,6 +86,7 @@
             next_token: FIRST_TOKEN,
             idle_connections: IdleConnections::default(),
             turn_queue: VecDeque::new(),
+            removed: Vec::new(),
             timers: BinaryHeap::new(),
             total_unsent_bytes: 0,
             read_buffer: vec![0; settings.read_buffer_bytes].into(),
@@ -167,6 +170,9 @@
         self.process_turn_queue(handler, now);
         self.handle_due_timers(handler, now);
         handler.after_turns(self, now);
+        for data in self.removed.drain(..) {
+            handler.connection_lost(data);
+        }
         Ok(())
     }
 
--- a/src/net/jsonrpc/handler.rs
+++ b/src/net/jsonrpc/handler.rs
@@ -28,8 +28,7 @@
     pub(super) rate_limited_log: RateLimitedLog,
 }
 
-/// Open requests of a connection by the id that the client gave them. Only kept at sites whose
-/// clients report when they stop waiting.
+/// Open requests of a connection by the id that the client gave them.
 type OpenRequests = HashMap<u64, ArrivalId>;
 
 impl ClientHandler for RequestHandler {
@@ -77,10 +76,8 @@
         let arrival = request
             .params
             .into_arrival(id, request.class, site, responder);
-        if site.callers_report_stopped_waiting {
-            if let Some(open_requests) = clients.connection_data(handle.connection) {
-                open_requests.insert(handle.id, id);
-            }
+        if let Some(open_requests) = clients.connection_data(handle.connection) {
+            open_requests.insert(handle.id, id);
         }
         // Fails only if the policy's thread has terminated, and then the node terminates as well.
         let _ = self
@@ -117,7 +114,7 @@
                     arrival,
                     answer,
                 } => {
-                    if self.close_answered(clients, handle, arrival, now) {
+                    if Self::close_answered(clients, handle, arrival, now) {
                         let line = answer_line(handle.id, &answer);
                         clients.enqueue_line(handle.connection, &line, now);
                         answered.push(handle.connection);
@@ -136,6 +133,14 @@
         clients.flush_answers(&answered, now);
     }
 
+    fn connection_lost(&mut self, open_requests: OpenRequests) {
+        let arrivals = open_requests.into_values().collect();
+        let _ = self
+            .context
+            .policy
+            .send(PolicyMessage::ClientDisconnected(arrivals));
+    }
+
     fn connection_rejected(&self, error: &io::Error) {
         self.rate_limited_log.log(
             |suppressed| warn!(self.log, "client connection rejected"; "error" => %error, "more" => suppressed),
@@ -154,20 +159,17 @@
     /// Records that a request is answered. Returns false if its client no longer waits for it. At a
     /// site whose clients cancel, the same id may by then stand for another request.
     fn close_answered(
-        &self,
         clients: &mut ClientListener<Self>,
         handle: RequestHandle,
         arrival: ArrivalId,
         now: Instant,
     ) -> bool {
-        if self.context.site.callers_report_stopped_waiting {
-            let open_requests = clients.connection_data(handle.connection);
-            let open = open_requests.and_then(|requests| requests.get(&handle.id));
-            if open != Some(&arrival) {
-                return false;
-            }
-            remove_open_request(clients, handle);
+        let open_requests = clients.connection_data(handle.connection);
+        let open = open_requests.and_then(|requests| requests.get(&handle.id));
+        if open != Some(&arrival) {
+            return false;
         }
+        remove_open_request(clients, handle);
         clients.close_request(handle, now)
     }
 }
@@ -176,9 +178,13 @@
     clients: &mut ClientListener<RequestHandler>,
     handle: RequestHandle,
 ) -> Option<ArrivalId> {
-    clients
-        .connection_data(handle.connection)?
-        .remove(&handle.id)
+    let open_requests = clients.connection_data(handle.connection)?;
+    let arrival = open_requests.remove(&handle.id);
+    if open_requests.is_empty() {
+        // Most connections are idle, and an empty map would keep its memory.
+        *open_requests = OpenRequests::default();
+    }
+    arrival
 }
 
 /// Starts accepting connections on this socket.
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -50,6 +50,9 @@
     RunRejected(RequestUid),
     /// The caller of the request with this arrival has stopped waiting for its answer.
     CallerStoppedWaiting(ArrivalId),
+    /// The connection of the requests with these arrivals is closed, so that they can't be answered
+    /// any more. Those that have not been sent to run are dropped.
+    ClientDisconnected(Vec<ArrivalId>),
     /// A database call has ended.
     CallEnded {
         /// The request that the call was made for.
--- a/src/node/policy_actor/answers.rs
+++ b/src/node/policy_actor/answers.rs
@@ -58,6 +58,29 @@
             return;
         };
         self.log_cancellation(id);
+        self.discard_responder(id);
+    }
+
+    /// Drops the requests with these arrivals that were not sent to run, as their connection is
+    /// closed. The runs of the others continue, and their answers are dropped.
+    pub(super) fn client_disconnected(&mut self, arrivals: &[ArrivalId]) {
+        let mut dropped = 0_usize;
+        for arrival in arrivals {
+            let id = self.requests.find_arrival(*arrival);
+            if let Some(id) = id.filter(|id| self.requests.is_queued_for_itself(*id)) {
+                self.discard_responder(id);
+                dropped += 1;
+            }
+        }
+        if dropped > 0 {
+            self.rate_limited.disconnect.log(|suppressed| {
+                info!(self.log, "queued requests of a closed connection dropped"; "dropped" => dropped,
+                    "suppressed" => suppressed);
+            });
+        }
+    }
+
+    fn discard_responder(&mut self, id: RequestId) {
         let Some(responder) = self.take_responder(id) else {
             return;
         };
--- a/src/node/policy_actor/mod.rs
+++ b/src/node/policy_actor/mod.rs
@@ -118,6 +118,7 @@
 /// Log lines that peers can cause at any rate.
 struct RateLimitedLogs {
     cancellation: RateLimitedLog,
+    disconnect: RateLimitedLog,
     duplicate_uid: RateLimitedLog,
     fleet_limit_rejections: RateLimitedLog,
     rejected_run: RateLimitedLog,
@@ -155,6 +156,7 @@
         );
         let rate_limited = RateLimitedLogs {
             cancellation: RateLimitedLog::new(limits.repeated_log_interval),
+            disconnect: RateLimitedLog::new(limits.repeated_log_interval),
             duplicate_uid: RateLimitedLog::new(limits.repeated_log_interval),
             fleet_limit_rejections: RateLimitedLog::new(limits.repeated_log_interval),
             rejected_run: RateLimitedLog::new(limits.repeated_log_interval),
@@ -235,6 +237,7 @@
             PolicyMessage::GaugesRead { tag, values } => self.gauges_read(tag, &values),
             PolicyMessage::RunRejected(uid) => self.run_rejected(uid),
             PolicyMessage::CallerStoppedWaiting(arrival) => self.caller_stopped_waiting(arrival),
+            PolicyMessage::ClientDisconnected(arrivals) => self.client_disconnected(&arrivals),
             PolicyMessage::CallEnded {
                 id,
                 result,
--- a/src/node/request_table.rs
+++ b/src/node/request_table.rs
@@ -225,6 +225,18 @@
             .filter(|entry| entry.stage == RequestStage::Queued)
     }
 
+    /// Returns true if the request has not been sent to run, repeats no other, and no other repeats
+    /// it.
+    pub(super) fn is_queued_for_itself(&self, id: RequestId) -> bool {
+        let is_queued =
+            |entry: &RequestEntry| entry.stage == RequestStage::Queued && entry.repeats.is_none();
+        let is_repeated = || self.entries.values().any(|entry| entry.repeats == Some(id));
+        let Some(entry) = self.entries.get(&id) else {
+            return false;
+        };
+        is_queued(entry) && !(entry.owns_key && is_repeated())
+    }
+
     pub(super) fn counts(&self) -> RequestCounts {
         let sent = self.entries.values().filter(|e| e.was_sent());
         let sent_count = sent.clone().count();
--- a/tests/common/stepped_server.rs
+++ b/tests/common/stepped_server.rs
@@ -101,6 +101,15 @@
         }
     }
 
+    /// Steps the server until the policy learns that a connection has closed, and returns the
+    /// arrivals of the requests that were open on it.
+    pub(crate) fn next_disconnect(&mut self) -> Vec<ArrivalId> {
+        match self.next_message() {
+            PolicyMessage::ClientDisconnected(arrivals) => arrivals,
+            _ => panic!("expected the end of a connection"),
+        }
+    }
+
     fn next_message(&mut self) -> PolicyMessage {
         let mut message = None;
         self.step_until("a message reaches the policy", |stepped| {
--- a/tests/connection_races.rs
+++ b/tests/connection_races.rs
@@ -181,6 +181,7 @@
     let (mut peer, mut other) = (stepped.connect(), stepped.connect());
     peer.send("statement-read", "serve");
     let arrival = stepped.next_arrival();
+    let open_request = arrival.id;
     let socket = socket2::SockRef::from(&peer.stream);
     socket
         .set_linger(Some(Duration::ZERO))
@@ -190,6 +191,7 @@
     stepped.step_until("the connection is closed", |stepped| {
         stepped.server.connection_count() == 1
     });
+    assert_eq!(stepped.next_disconnect(), [open_request]);
     let id = other.send("statement-read", "serve");
     SteppedServer::reject(stepped.next_arrival());
     assert_eq!(stepped.next_answer(&mut other)["id"].as_u64(), Some(id));
