The policy counts at most 4,096 callers one by one

Cause: TrafficStatistics kept a count for each number that a sender gives itself, bounded by decay alone, and walked through all in each batch.

Change: beyond 4,096 callers no new one is counted until others have decayed; known ones keep their count. The estimate is unchanged for the 150 front ends of a deployment. Rejected: counting by connection, since a front end uses many.

--- a/crates/policy/src/statistics/traffic.rs
+++ b/crates/policy/src/statistics/traffic.rs
@@ -1,6 +1,6 @@
 //! The requests that arrive, and how many of them are rejected.
 
-use std::collections::BTreeMap;
+use std::collections::btree_map::{BTreeMap, Entry};
 
 use super::{decay_factor, effective_count, update_mean, FAST_LEARNING_RATE, LEARNING_RATE};
 use crate::interface::{CallerId, Class, Request, Settings, TenantId};
@@ -11,6 +11,9 @@
 const RATE_SPAN_OBJECTIVES: f64 = 2.0;
 /// Callers whose decayed number of requests is below this are forgotten.
 const MIN_CALLER_RATE: f64 = 0.01;
+/// Maximum number of callers that are counted one by one. A sender may name itself anew with each
+/// request; the callers beyond this number are not counted.
+const MAX_CALLERS: usize = 4096;
 
 /// Running means and rates of the traffic.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -70,13 +73,24 @@
         self.caller_rates.retain(|_, rate| *rate > MIN_CALLER_RATE);
     }
 
+    fn count_caller(&mut self, caller: CallerId) {
+        let has_room = self.caller_rates.len() < MAX_CALLERS;
+        match self.caller_rates.entry(caller) {
+            Entry::Occupied(rate) => *rate.into_mut() += 1.0,
+            Entry::Vacant(rate) if has_room => {
+                rate.insert(1.0);
+            }
+            Entry::Vacant(_) => {}
+        }
+    }
+
     /// Records a request that was read, and whether it is known or inferred to be a retry. Retries
     /// do not count towards tenants' rates, which measure what users ask for, however often callers
     /// retry.
     pub fn record_arrival(&mut self, request: &Request, class: &Class, work_ms: f64, is_retry: bool) {
         let tenant_index = self.tenant_index(request.tenant);
         self.tenant_rates[tenant_index] += if is_retry { 0.0 } else { 1e3 / self.rate_span_ms };
-        *self.caller_rates.entry(request.caller).or_insert(0.0) += 1.0;
+        self.count_caller(request.caller);
         for (mean, value) in [
             (&mut self.mean_work_ms, work_ms),
             (&mut self.mean_objective_ms, class.latency_objective.ms()),
--- a/crates/policy/tests/statistics.rs
+++ b/crates/policy/tests/statistics.rs
@@ -194,3 +194,29 @@
     traffic.advance(1e6, 0.5);
     assert_eq!(traffic.effective_callers(), None);
 }
+
+/// Guards against memory and time that grow with each new name that a sender gives itself: its
+/// callers are counted up to a limit, and those that were there before it keep their count.
+#[test]
+fn ever_new_callers_are_counted_up_to_a_limit() {
+    const NEW_CALLERS: u64 = 20_000;
+    const MAX_COUNTED: f64 = 4096.0;
+    let settings = common::settings();
+    let class = &settings.classes[0];
+    let mut traffic = TrafficStatistics::new(&settings);
+    let mut arrive = |traffic: &mut TrafficStatistics, caller: u64| {
+        let request = Request { caller: CallerId(caller), ..common::request(caller, 0) };
+        traffic.record_arrival(&request, class, 10.0, false);
+    };
+    for caller in 0..NEW_CALLERS {
+        arrive(&mut traffic, caller);
+    }
+    let counted = traffic.effective_callers().expect("callers are counted");
+    assert!(counted <= MAX_COUNTED, "{counted} callers");
+    // A caller that is counted already is still counted.
+    for _ in 0..NEW_CALLERS {
+        arrive(&mut traffic, 0);
+    }
+    let with_one_heavy = traffic.effective_callers().expect("callers are counted");
+    assert!(with_one_heavy < 2.0, "{with_one_heavy} callers");
+}
