A settlement that comes again under the id of an ended run is not run again

Cause: the request table knew an id only until its run had ended, and the executor starts a run for any id that it does not run at the moment.

Change: EndedRuns remembers the ids of ended runs of requests that must not run twice, for the longest deadline and its slack and at most 8,192 of them, which bounds its memory. Such a request is answered that it may have run. A repeat by key is answered from its key's run, as before. Rejected: by key table entries, which live as long as the process for these classes and would fill it.

--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -179,6 +179,8 @@
     pub gauge_timeout: Duration,
     /// Time between two log lines that report the state.
     pub state_log_interval: Duration,
+    /// Maximum number of ended runs whose ids are remembered, each with some 60 bytes.
+    pub remembered_runs: usize,
 }
 
 impl Default for PolicyLimits {
@@ -193,6 +195,7 @@
             executor_age_margin: Duration::from_millis(500),
             gauge_timeout: Duration::from_millis(12),
             state_log_interval: Duration::from_secs(10),
+            remembered_runs: 8192,
         }
     }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cell_guard;
 pub mod config;
+mod ended_runs;
 mod executor_link;
 mod held_work;
 pub mod limits;
--- a/src/node/policy_actor/answers.rs
+++ b/src/node/policy_actor/answers.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use idempotency::JoinOutcome;
-use policy::{Event, RequestId, RunOutcome};
+use policy::{Event, Idempotency, RequestId, RunOutcome};
 use slog::info;
 
 use super::PolicyActor;
@@ -107,11 +107,23 @@
     /// Removes a request from the table. If it never ran, the requests that joined it never ran
     /// either and are rejected.
     pub(super) fn remove(&mut self, id: RequestId) {
+        self.remember_run(id);
         let joined = self.requests.remove(id);
         let rejected = Outcome::rejected(self.site.settings.max_retry_after);
         self.answer_joined(joined, &rejected);
     }
 
+    /// Remembers the id of a request that was sent to run and must not run twice.
+    fn remember_run(&mut self, id: RequestId) {
+        let idempotency = self.idempotency(id);
+        let Some(entry) = self.requests.get_mut(id) else {
+            return;
+        };
+        if entry.was_sent() && idempotency != Some(Idempotency::Idempotent) {
+            self.ended_runs.record(entry.uid, Instant::now());
+        }
+    }
+
     /// Answers the requests that joined a request that has ended.
     pub(super) fn answer_joined(&mut self, joined: Vec<RequestId>, outcome: &Outcome) {
         for id in joined {
--- a/src/node/policy_actor/arrivals.rs
+++ b/src/node/policy_actor/arrivals.rs
@@ -96,6 +96,10 @@
             });
             return Err(Outcome::Failed(Failure::Internal));
         }
+        // The executor would run it again, as it knows ids of current runs alone.
+        if repeats.is_none() && self.ended_runs.contains(arrival.uid) {
+            return Err(Outcome::Failed(Failure::MayHaveRun));
+        }
         Ok(repeats)
     }
 
--- a/src/node/policy_actor/mod.rs
+++ b/src/node/policy_actor/mod.rs
@@ -31,6 +31,7 @@
 use self::batch::{GaugeReading, PendingEvent};
 use self::inherited_work::InheritedRuns;
 use self::sibling_keys::SiblingKeys;
+use super::ended_runs::EndedRuns;
 use super::executor_link::ExecutorLink;
 use super::held_work::RemainingWork;
 use super::request_table::RequestTable;
@@ -69,6 +70,8 @@
     /// Created when the executor connects for the first time.
     policy: Option<Policy>,
     requests: RequestTable,
+    /// Ended runs of requests that must not run twice.
+    ended_runs: EndedRuns,
     /// Events for the policy's next batch.
     pending: Vec<PendingEvent>,
     /// Buffer for the actions that the policy returns for a batch, kept to reuse its allocation.
@@ -154,6 +157,10 @@
             limits.keys.result_bytes,
             Micros(max_queue_time(&site).0),
         );
+        let ended_runs = EndedRuns::new(
+            to_duration(max_queue_time(&site)),
+            limits.policy.remembered_runs,
+        );
         let rate_limited = RateLimitedLogs {
             cancellation: RateLimitedLog::new(limits.repeated_log_interval),
             disconnect: RateLimitedLog::new(limits.repeated_log_interval),
@@ -175,6 +182,7 @@
             rate_limited,
             policy: None,
             requests: RequestTable::new(keys),
+            ended_runs,
             pending: Vec::new(),
             actions: Vec::new(),
             wake_ups: BinaryHeap::new(),
