--- a/crates/policy/tests/statistics.rs
+++ b/crates/policy/tests/statistics.rs
@@ -204,7 +204,7 @@
     let settings = common::settings();
     let class = &settings.classes[0];
     let mut traffic = TrafficStatistics::new(&settings);
-    let mut arrive = |traffic: &mut TrafficStatistics, caller: u64| {
+    let arrive = |traffic: &mut TrafficStatistics, caller: u64| {
         let request = Request { caller: CallerId(caller), ..common::request(caller, 0) };
         traffic.record_arrival(&request, class, 10.0, false);
     };
--- a/src/amqp/broker/mod.rs
+++ b/src/amqp/broker/mod.rs
@@ -3,6 +3,7 @@
 //! delivers the unsettled messages again.
 
 mod connection;
+mod delivery;
 mod error;
 mod handshake;
 mod queue_channel;
--- a/src/amqp/broker/queue_channel.rs
+++ b/src/amqp/broker/queue_channel.rs
@@ -20,12 +20,13 @@
 }
 
 impl QueueChannel {
-    /// Begins to open a channel. After failures it is opened again with a backoff from
-    /// `backoff_min` to `backoff_max`.
+    /// Begins to open a channel. After failures it is opened again with this backoff, which is reset
+    /// once the channel has been open for longer than `backoff_max`.
     pub(super) fn open(
         settings: ConsumerSettings,
         generation: u64,
-        (backoff_min, backoff_max): (Duration, Duration),
+        backoff: Backoff,
+        backoff_max: Duration,
         effects: &mut Vec<ConsumerEffect>,
     ) -> QueueChannel {
         QueueChannel {
@@ -33,7 +34,7 @@
             generation,
             opened_at: Instant::now(),
             reopen_at: None,
-            backoff: Backoff::new(backoff_min, backoff_max),
+            backoff,
             backoff_max,
         }
     }
--- a/src/amqp/broker/session.rs
+++ b/src/amqp/broker/session.rs
@@ -11,22 +11,13 @@
 use crossbeam_channel::{at, never, select_biased, Receiver};
 use slog::{info, warn};
 
-use super::super::consumer::{ChannelError, ConsumerEffect, ConsumerSettings, Delivery};
+use super::super::consumer::{ChannelError, ConsumerEffect, ConsumerSettings};
 use super::connection::{Connection, CONNECTION_CHANNEL};
+use super::delivery::channel_number;
 use super::error::BrokerError;
 use super::queue_channel::QueueChannel;
 use super::{BrokerActor, BrokerMessage, DeliveryAnswer};
-use crate::node::{
-    steady_now, Arrival, ArrivalId, CellKey, Payload, PolicyMessage, RequestUid, Responder,
-};
-use crate::CallerId;
-
-/// The first caller id of queues. The caller ids of JSON-RPC clients are small numbers.
-const FIRST_CALLER_ID: u64 = 1 << 32;
-
-/// Number of low bits of a caller id for the queue's index. The broker's number is in the bits
-/// above.
-const QUEUE_BITS: u32 = 16;
+use crate::net::Backoff;
 
 /// The heartbeat interval if none was agreed with the broker.
 const NO_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(3600);
@@ -152,13 +143,14 @@
             is_shutting_down: false,
             hand_backs_end_at: None,
         };
-        let limits = &self.shared.limits;
-        let backoff_range = (limits.reconnect_backoff, limits.amqp.backoff_max);
+        let backoff_min = self.shared.limits.reconnect_backoff;
+        let backoff_max = self.shared.limits.amqp.backoff_max;
         for index in 0..self.queues.len() {
             let settings = self.consumer_settings(connection, index);
             let generation = self.next_generation();
+            let backoff = Backoff::new(backoff_min, backoff_max);
             let effects = &mut session.effects;
-            let channel = QueueChannel::open(settings, generation, backoff_range, effects);
+            let channel = QueueChannel::open(settings, generation, backoff, backoff_max, effects);
             session.channels.push(channel);
             self.perform_of_queue(connection, &mut session, index)?;
         }
@@ -313,67 +305,6 @@
         })
     }
 
-    /// Sends a delivery to the policy. Its arrival time is the time at which it was read.
-    fn deliver(
-        &mut self,
-        queue_index: usize,
-        delivery: Delivery,
-        responder: Responder,
-    ) -> Result<(), BrokerError> {
-        let uid = RequestUid::from_number(self.next_random());
-        let queue = &self.queues[queue_index];
-        let tenant = queue.tenant.as_deref();
-        let caller = FIRST_CALLER_ID + (self.number << QUEUE_BITS) + queue_index as u64;
-        let arrival = Arrival {
-            id: ArrivalId::next(),
-            uid,
-            class: queue.class,
-            tenant: tenant.map(|name| self.shared.site.tenant(name)),
-            cell_key: tenant.map(|name| CellKey {
-                tenant: name.into(),
-                subject: None,
-            }),
-            arrived_at: steady_now(),
-            caller_timeout: None,
-            caller: CallerId(caller),
-            is_retry: delivery.is_redelivered,
-            queued_kb: queue.queued_kb,
-            payload: Payload::from_bytes(&delivery.body),
-            idempotency_key: delivery.message_id.map(String::into_boxed_str),
-            may_have_run: delivery.is_redelivered,
-            is_handed_back: delivery.received_in_shutdown,
-            responder,
-        };
-        self.shared
-            .policy
-            .send(PolicyMessage::RequestArrived(Box::new(arrival)))
-            .map_err(|_| BrokerError::PolicyEnded)
-    }
-
-    /// Returns a responder that sends the answer to this actor without blocking, so that the policy
-    /// never waits for a broker.
-    fn responder(
-        &self,
-        connection: &Connection,
-        queue_index: usize,
-        generation: u64,
-        tag: u64,
-    ) -> Responder {
-        let mailbox = self.mailbox.sender.clone();
-        let has_lost_answers = connection.has_lost_answers.clone();
-        Responder::new(move |answer| {
-            let message = BrokerMessage::Answer(DeliveryAnswer {
-                generation,
-                channel: channel_number(queue_index),
-                tag,
-                answer,
-            });
-            if mailbox.try_send(message).is_err() {
-                has_lost_answers.store(true, SeqCst);
-            }
-        })
-    }
-
     /// Makes every consumer stop consuming.
     fn begin_shutdown(
         &mut self,
@@ -405,8 +336,3 @@
         Ok(())
     }
 }
-
-/// Returns the number of the channel for a queue. Channel 0 is the connection itself.
-fn channel_number(queue_index: usize) -> u16 {
-    queue_index as u16 + 1
-}
