Two processes of a node share the ids of runs that must not happen twice

Cause: the two processes shared no knowledge of what they had run.

Change: each process that can have a sibling writes the id of such a request to a ring file of 8,192 ids before it sends the run, and looks for it in the other's file while there is one and for the longest deadline after. Both write before they look, so the request cannot run in both; at worst it runs in neither and is told that it may have run. A failed write or read is logged, and the run goes on as before. Uids of queue messages are salted for each process, as two processes may have one seed. Rejected: handing the ids over at the end of the old process, which says nothing of the time in which both serve.

--- a/src/amqp/broker/delivery.rs
+++ b/src/amqp/broker/delivery.rs
@@ -26,7 +26,7 @@
         delivery: Delivery,
         responder: Responder,
     ) -> Result<(), BrokerError> {
-        let uid = RequestUid::from_number(self.next_random());
+        let uid = RequestUid::from_number(self.next_random() ^ self.shared.uid_salt);
         let queue = &self.queues[queue_index];
         let tenant = queue.tenant.as_deref();
         let caller = FIRST_CALLER_ID + (self.number << QUEUE_BITS) + queue_index as u64;
--- a/src/amqp/mod.rs
+++ b/src/amqp/mod.rs
@@ -7,7 +7,9 @@
 pub mod codec;
 mod consumer;
 
+use std::collections::hash_map::RandomState;
 use std::collections::BTreeMap;
+use std::hash::BuildHasher;
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, OnceLock};
@@ -33,6 +35,9 @@
     node_status: Arc<NodeStatus>,
     policy: Sender<PolicyMessage>,
     seed: u64,
+    /// Combined with the random numbers of request uids. It differs between processes that are
+    /// started with the same seed, so that two processes of a node never use the same uid.
+    uid_salt: u64,
     is_shutting_down: AtomicBool,
     /// Time in a shutdown from which on no delivery is handed back any more.
     hand_backs_end_at: OnceLock<Instant>,
@@ -50,7 +55,7 @@
 
 impl AmqpConsumers {
     /// Starts an actor for each combination of broker, virtual host and user in `queues`. `seed` is
-    /// the seed of the random request uids and of the jitter.
+    /// the seed of the jitter, and of the request uids together with a random number.
     ///
     /// # Errors
     /// A thread can't be started.
@@ -70,6 +75,7 @@
             node_status: node_status.clone(),
             policy: policy.clone(),
             seed,
+            uid_salt: RandomState::new().hash_one(seed),
             is_shutting_down: AtomicBool::new(false),
             hand_backs_end_at: OnceLock::new(),
             open_brokers: AtomicUsize::new(groups.len()),
--- a/src/instance_lock.rs
+++ b/src/instance_lock.rs
@@ -17,6 +17,7 @@
 
 use crate::node::{HeldWork, RateLimitedLog};
 use crate::process_records::ProcessRecords;
+use crate::run_id_files::RunIdFiles;
 
 /// Maximum number of processes of one node that run at the same time.
 const MAX_PROCESSES: usize = 2;
@@ -71,6 +72,22 @@
         info!(log, "instance lock"; "sibling" => ?self.sibling());
     }
 
+    /// Opens the files of the ids of runs, if the lock is held. Without them a request that comes to
+    /// both processes can run in both.
+    pub fn open_run_ids(&self, log: &Logger) -> Option<RunIdFiles> {
+        let InstanceLock::Held {
+            own_records,
+            sibling_records,
+            ..
+        } = self
+        else {
+            return None;
+        };
+        RunIdFiles::open(own_records.run_ids_path(), sibling_records.run_ids_path())
+            .inspect_err(|e| warn!(log, "file of run ids unavailable"; "error" => %e))
+            .ok()
+    }
+
     /// Returns the work that an earlier process with this instance file recorded before it ended,
     /// if the other process of the node has not read the record: this process may have locked the
     /// file before the other one checked it. The record is returned only once. Without another
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod net;
 pub mod node;
 pub mod process_records;
+pub mod run_id_files;
 pub mod wire;
 
 pub use policy::*;
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -8,6 +8,7 @@
 
 use super::held_work::{HeldWork, RemainingWork};
 use super::request::{Arrival, ArrivalId, Payload, RequestUid};
+use crate::run_id_files::RunIdFiles;
 
 /// A message to the mailbox of the policy actor.
 pub enum PolicyMessage {
@@ -50,6 +51,8 @@
     RunRejected(RequestUid),
     /// The caller of the request with this arrival has stopped waiting for its answer.
     CallerStoppedWaiting(ArrivalId),
+    /// The files of run ids, which this process shares with another one of its node.
+    RunIdsShared(RunIdFiles),
     /// The connection of the requests with these arrivals is closed, so that they can't be answered
     /// any more. Those that have not been sent to run are dropped.
     ClientDisconnected(Vec<ArrivalId>),
--- a/src/node/policy_actor/actions.rs
+++ b/src/node/policy_actor/actions.rs
@@ -53,15 +53,22 @@
         if self.requests.get_queued(id).is_none() {
             return;
         }
-        if may_be_sent && self.send_run(id) {
+        if !is_repeatable && self.has_run_at_sibling(id) {
+            self.refuse_run(id, Outcome::Failed(Failure::MayHaveRun));
+        } else if may_be_sent && self.send_run(id) {
             self.requests.keys.mark_running(id.0);
         } else {
             let retry_after = self.site.settings.max_retry_after;
-            self.answer_early(id, Outcome::rejected(retry_after));
-            self.queue_event(Event::RunEnded(id, RunOutcome::NeverStarted));
+            self.refuse_run(id, Outcome::rejected(retry_after));
         }
     }
 
+    /// Answers a request whose run is not started.
+    fn refuse_run(&mut self, id: RequestId, outcome: Outcome) {
+        self.answer_early(id, outcome);
+        self.queue_event(Event::RunEnded(id, RunOutcome::NeverStarted));
+    }
+
     /// Stops a run, unless its class is idempotent by key: the next attempt with the key is
     /// answered with the result of this run, and would find none if it were stopped.
     fn stop_run(&mut self, id: RequestId) {
--- a/src/node/policy_actor/mod.rs
+++ b/src/node/policy_actor/mod.rs
@@ -39,6 +39,7 @@
 use super::{
     longest_deadline, CellGuard, Limits, NodeStatus, Peers, PolicyMessage, RateLimitedLog,
 };
+use crate::run_id_files::RunIdFiles;
 use crate::wire::Site;
 
 /// The configuration of a [`PolicyActor`].
@@ -72,6 +73,8 @@
     requests: RequestTable,
     /// Ended runs of requests that must not run twice.
     ended_runs: EndedRuns,
+    /// Ids of runs in this process and in another one of the node, if there can be one.
+    run_ids: Option<RunIdFiles>,
     /// Events for the policy's next batch.
     pending: Vec<PendingEvent>,
     /// Buffer for the actions that the policy returns for a batch, kept to reuse its allocation.
@@ -124,6 +127,7 @@
     disconnect: RateLimitedLog,
     duplicate_uid: RateLimitedLog,
     fleet_limit_rejections: RateLimitedLog,
+    run_ids: RateLimitedLog,
     rejected_run: RateLimitedLog,
     state: RateLimitedLog,
 }
@@ -166,6 +170,7 @@
             disconnect: RateLimitedLog::new(limits.repeated_log_interval),
             duplicate_uid: RateLimitedLog::new(limits.repeated_log_interval),
             fleet_limit_rejections: RateLimitedLog::new(limits.repeated_log_interval),
+            run_ids: RateLimitedLog::new(limits.repeated_log_interval),
             rejected_run: RateLimitedLog::new(limits.repeated_log_interval),
             state: RateLimitedLog::new(limits.policy.state_log_interval),
         };
@@ -183,6 +188,7 @@
             policy: None,
             requests: RequestTable::new(keys),
             ended_runs,
+            run_ids: None,
             pending: Vec::new(),
             actions: Vec::new(),
             wake_ups: BinaryHeap::new(),
@@ -259,6 +265,7 @@
                 self.queue_event(Event::CallQuotaChanged(calls as f64));
             }
             PolicyMessage::ResourceSharesChanged(shares) => self.set_resource_shares(shares),
+            PolicyMessage::RunIdsShared(files) => self.run_ids = Some(files),
             PolicyMessage::SiblingSeen => self.sibling = SiblingKeys::Present,
             PolicyMessage::SiblingEnded(work) => {
                 self.sibling = SiblingKeys::EndedAt(Instant::now());
--- a/src/node/request.rs
+++ b/src/node/request.rs
@@ -13,6 +13,11 @@
 pub struct RequestUid([u8; 16]);
 
 impl RequestUid {
+    /// Returns the digits of the id.
+    pub fn as_bytes(&self) -> &[u8; 16] {
+        &self.0
+    }
+
     /// Parses exactly 16 hex digits.
     pub fn parse(text: &str) -> Option<RequestUid> {
         let bytes: [u8; 16] = text.as_bytes().try_into().ok()?;
--- a/src/process_records.rs
+++ b/src/process_records.rs
@@ -8,6 +8,8 @@
 
 /// Suffix of the instance file's name for the record of the work that the process leaves running.
 const HELD_WORK_SUFFIX: &str = ".held";
+/// Suffix of the instance file's name for the ids of the process's runs.
+const RUN_IDS_SUFFIX: &str = ".runs";
 /// Suffix of the instance file's name for the record of the calls at an unresponsive database.
 const CALLS_SUFFIX: &str = ".calls";
 
@@ -15,6 +17,7 @@
 pub struct ProcessRecords {
     held_work: HeldWorkFile,
     calls: HeldWorkFile,
+    run_ids: PathBuf,
     /// Number of calls in the record; `None` if unknown.
     recorded_calls: Option<u32>,
 }
@@ -23,12 +26,18 @@
     /// Refers to the records next to this instance file, none of which need exist.
     pub fn for_instance_file(instance_file: &Path) -> ProcessRecords {
         ProcessRecords {
-            held_work: file_with_suffix(instance_file, HELD_WORK_SUFFIX),
-            calls: file_with_suffix(instance_file, CALLS_SUFFIX),
+            held_work: HeldWorkFile::new(path_with_suffix(instance_file, HELD_WORK_SUFFIX)),
+            calls: HeldWorkFile::new(path_with_suffix(instance_file, CALLS_SUFFIX)),
+            run_ids: path_with_suffix(instance_file, RUN_IDS_SUFFIX),
             recorded_calls: None,
         }
     }
 
+    /// Returns the path of the file with the ids of the process's runs.
+    pub fn run_ids_path(&self) -> &Path {
+        &self.run_ids
+    }
+
     /// Removes the record of the work that an earlier process left running.
     ///
     /// # Errors
@@ -91,8 +100,8 @@
     }
 }
 
-fn file_with_suffix(instance_file: &Path, suffix: &str) -> HeldWorkFile {
+fn path_with_suffix(instance_file: &Path, suffix: &str) -> PathBuf {
     let mut path = instance_file.as_os_str().to_owned();
     path.push(suffix);
-    HeldWorkFile::new(PathBuf::from(path))
+    PathBuf::from(path)
 }
--- a/src/run_loop.rs
+++ b/src/run_loop.rs
@@ -19,7 +19,7 @@
 use crate::reload::ConfigReloader;
 use crate::resource_divider::ResourceDivider;
 use crate::signals::Signals;
-use crate::startup::StartError;
+use crate::startup::{share_run_ids, StartError};
 
 /// The process exits a quarter of the stop margin before the platform kills it. The policy has
 /// answered every request a whole stop margin before the kill, which leaves three quarters of the
@@ -170,6 +170,7 @@
         if !self.instance_lock.may_accept_clients() {
             self.instance_lock
                 .try_acquire(self.status.process_state(), &self.log);
+            share_run_ids(&self.instance_lock, &self.policy, &self.log);
             self.inherit_earlier_work();
         }
         self.record_calls_at_unresponsive_database();
--- a/src/startup.rs
+++ b/src/startup.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::TcpListener;
 
+use crossbeam_channel::Sender;
 use fleet_runtime as fleet;
 use protocol_gateway::fleet_membership::{FleetMembership, FleetMembershipOptions};
 use protocol_gateway::instance_lock::{InstanceLock, ResourceShareLocks};
@@ -10,7 +11,7 @@
 use protocol_gateway::net::bind_client_address;
 use protocol_gateway::node::cell_guard::CellGuardError;
 use protocol_gateway::node::config::{Config, ConfigError};
-use protocol_gateway::node::{CellGuard, Limits, RateLimitedLog};
+use protocol_gateway::node::{CellGuard, Limits, PolicyMessage, RateLimitedLog};
 use slog::{o, Drain, Logger};
 use thiserror::Error;
 
@@ -196,6 +197,18 @@
     }
 }
 
+/// Has the policy share the ids of its runs with another process of the node, if the instance lock
+/// is held.
+pub(crate) fn share_run_ids(
+    instance_lock: &InstanceLock,
+    policy: &Sender<PolicyMessage>,
+    log: &Logger,
+) {
+    if let Some(files) = instance_lock.open_run_ids(log) {
+        let _ = policy.send(PolicyMessage::RunIdsShared(files));
+    }
+}
+
 /// Acquires the instance lock and this process's resource shares. Another process of the node can
 /// exist only where there is an admin listener.
 fn divide_resources(
@@ -209,6 +222,7 @@
         None => InstanceLock::Unavailable,
     };
     instance_lock.try_acquire(context.status.process_state(), context.log);
+    share_run_ids(&instance_lock, &context.policy, context.log);
     let mut divider = ResourceDivider {
         locks: ResourceShareLocks::new(&folder, name, &instance_lock),
         status: context.status.clone(),
