The demo prints its last table also where it is stopped right after another one

Cause: run_rounds asked whether it was stopped after a table, and ended if so. A stop that came while the table was made or just after it counted as one before it; the test signals as soon as it has read a table, and met this where the demo's thread was held up in between.

Change: whether a table is the last is decided before it is made. The output is a writer, so that a test can stop the demo from its first table.

--- a/crates/fault-testbed/src/demo/mod.rs
+++ b/crates/fault-testbed/src/demo/mod.rs
@@ -73,16 +73,28 @@
 /// # Errors
 /// [`DemoError`] if a node is unknown, or the testbed, a request or the output fails.
 pub fn run(options: &DemoOptions, is_stopped: impl Fn() -> bool) -> Result<(), DemoError> {
+    run_with_output(options, is_stopped, &mut io::stdout())
+}
+
+/// Runs the demo as [`run`] does, and writes what it shows to `out`.
+///
+/// # Errors
+/// Those of [`run`].
+pub fn run_with_output(
+    options: &DemoOptions,
+    is_stopped: impl Fn() -> bool,
+    out: &mut impl Write,
+) -> Result<(), DemoError> {
     let nodes: Vec<String> = (1..=options.nodes).map(|n| format!("n{n}")).collect();
     let mut named_nodes = options.kill.iter().chain(&options.cut);
     if let Some(name) = named_nodes.find(|name| !nodes.contains(name)) {
         return Err(DemoError::NoSuchNode(name.clone()));
     }
     let mut testbed = start_processes(&nodes)?;
-    print_addresses(&testbed)?;
+    print_addresses(&testbed, out)?;
     let mut load = Load::start(testbed.try_node(ROUTER_NAME)?.address);
     let stop = StopCondition::new(is_stopped);
-    run_rounds(options, nodes, &mut testbed, &load, &stop)?;
+    run_rounds(options, nodes, &mut testbed, &load, &stop, out)?;
     let result = load.finish();
     // The signal that stopped the demo may have stopped the router as well, which makes the load
     // fail.
@@ -100,17 +112,23 @@
     testbed: &mut Testbed,
     load: &Load,
     stop: &StopCondition<impl Fn() -> bool>,
+    out: &mut impl Write,
 ) -> Result<(), DemoError> {
     let mut faults = FaultSchedule::default();
     let mut table = MemberTable::new(nodes);
     let mut previous = RequestCounts::default();
     let started_at = Instant::now();
     let mut second = 0;
-    while !stop.is_met() && !load.has_ended() {
+    let mut is_last = false;
+    while !is_last {
         second += 1;
         let elapsed = Duration::from_secs(second);
         stop.wait_until(started_at + elapsed);
-        if !stop.is_met() {
+        // Decided before the table: a stop during or after a table causes another, last one.
+        let is_stopped = stop.is_met();
+        let is_over = options.seconds > 0 && second >= options.seconds;
+        is_last = is_stopped || is_over || load.has_ended();
+        if !is_stopped {
             faults.apply_due(testbed, options, elapsed)?;
         }
         let counts = load.counts();
@@ -118,10 +136,7 @@
         let failed = counts.failed - previous.failed;
         previous = counts;
         let line = format!("{second:>3} s: {served} served, {failed} not in the last second");
-        print_table(&(line + &table.format(testbed)?))?;
-        if options.seconds > 0 && second >= options.seconds {
-            break;
-        }
+        print_table(out, &(line + &table.format(testbed)?))?;
     }
     if load.has_ended() {
         stop.wait_until(Instant::now() + STOP_GRACE);
@@ -154,8 +169,7 @@
 }
 
 /// Prints the router's address, and the command that shows the fleet's status for each process.
-fn print_addresses(testbed: &Testbed) -> Result<(), DemoError> {
-    let mut out = io::stdout();
+fn print_addresses(testbed: &Testbed, out: &mut impl Write) -> Result<(), DemoError> {
     let router = testbed.try_node(ROUTER_NAME)?.address;
     writeln!(
         out,
@@ -175,10 +189,9 @@
     Ok(())
 }
 
-fn print_table(text: &str) -> io::Result<()> {
-    let mut out = io::stdout();
+fn print_table(out: &mut impl Write, text: &str) -> io::Result<()> {
     // On a terminal, each table replaces the previous one.
-    let clear = if out.is_terminal() {
+    let clear = if io::stdout().is_terminal() {
         "\x1b[H\x1b[2J"
     } else {
         ""
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -1,11 +1,14 @@
 //! `protocol-gateway demo` as operators run it: on SIGTERM it prints its table and exits with code
 //! 0.
 
-use std::io::{BufRead, BufReader, Read};
+use std::cell::Cell;
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::os::unix::process::CommandExt;
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
 use std::thread;
 
+use clap::Parser;
+use fault_testbed::demo::{self, DemoOptions};
 use test_doubles::{wait_until, ScratchFile};
 
 /// A demo in a process group of its own, which is killed when the value is dropped.
@@ -133,6 +136,46 @@
     assert_ended_with_table(&demo.wait());
 }
 
+/// The demo's options, as on the command line.
+#[derive(clap::Parser)]
+struct DemoCommand {
+    #[command(flatten)]
+    options: DemoOptions,
+}
+
+/// Counts the tables that are written to it, and stops the demo once the first has been.
+struct StopAfterTable<'a> {
+    tables: usize,
+    is_stopped: &'a Cell<bool>,
+}
+
+impl Write for StopAfterTable<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let text = String::from_utf8_lossy(bytes);
+        self.tables += text.matches("\nmember ").count();
+        self.is_stopped.set(self.tables > 0);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a demo that ends without its last table: a stop right after a table was the end.
+#[test]
+fn demo_that_is_stopped_right_after_a_table_prints_another() {
+    let command = DemoCommand::try_parse_from(["demo", "--nodes", "2"]).expect("options");
+    let is_stopped = Cell::new(false);
+    let mut output = StopAfterTable {
+        tables: 0,
+        is_stopped: &is_stopped,
+    };
+    demo::run_with_output(&command.options, || is_stopped.get(), &mut output)
+        .expect("the demo runs");
+    assert_eq!(output.tables, 2);
+}
+
 #[test]
 fn demo_with_an_unknown_node_fails_with_one_line() {
     let output = Command::new(env!("CARGO_BIN_EXE_protocol-gateway"))
