The broker's actor has the stack of the thread that decodes frames

Seen in a test, not by callers: a message whose header holds tables in tables ended the process as it was handed back in a drain, and with it the work of all others.

Cause: the actor's thread had 160 KiB of stack.

Change: the thread gets the 8 MiB of the reading thread, where the length of a frame bounds the depth. They are addresses; memory is what is used.

--- a/src/amqp/mod.rs
+++ b/src/amqp/mod.rs
@@ -92,7 +92,8 @@
             let log = log.new(o!("broker" => address));
             let mailbox = BrokerMailbox { sender, receiver };
             let actor = BrokerActor::new(number as u64, queues, shared.clone(), mailbox, log);
-            spawn("amqp", limits.stack_bytes, move || actor.run())?;
+            // Like the reading thread it decodes headers, and drops them: both recurse into tables.
+            spawn("amqp", limits.amqp.stack_bytes, move || actor.run())?;
         }
         Ok(AmqpConsumers { shared, mailboxes })
     }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -311,7 +311,7 @@
     pub heartbeat_interval: Duration,
     /// Maximum backoff before a reconnect to a broker.
     pub backoff_max: Duration,
-    /// Stack size in bytes of a thread that decodes frames.
+    /// Stack size in bytes of a thread that decodes frames, or headers that it has kept.
     pub stack_bytes: usize,
     /// Time before the end of the process from which on no delivery is handed back, so that the
     /// broker can confirm the copies that have been published.
--- a/tests/amqp_redelivery.rs
+++ b/tests/amqp_redelivery.rs
@@ -235,6 +235,28 @@
     stop_node(&broker, &mut next);
 }
 
+/// Guards against a stack overflow, which ends the process for all its senders: the header of a
+/// message that is handed back is decoded again, and tables in tables take stack.
+#[test]
+fn message_with_nested_header_tables_is_handed_back() {
+    const DEPTH: usize = 100;
+    let (broker, mut node) = start_broker_and_node(8);
+    wait_until("both queues are consumed", || {
+        broker.with(|state| state.consumers) == 2
+    });
+    let mut headers = FieldTable::default();
+    for _ in 0..DEPTH {
+        let mut outer = FieldTable::default();
+        outer.insert("x".into(), AMQPValue::FieldTable(headers));
+        headers = outer;
+    }
+    let mut message = Message::new("serve:a");
+    message.properties = message.properties.with_headers(headers);
+    broker.with(|state| state.push_on_cancel.push((POSTS.into(), message)));
+    stop_node(&broker, &mut node);
+    assert_eq!(broker.with(|state| state.ready[POSTS].len()), 1);
+}
+
 /// Guards against properties of a copy that the broker would act on again: a user id of another
 /// user closes the channel, and `CC` would send the message to other queues once more.
 #[test]
